--- /dev/null
+++ b/core/rules/set.go
@@ -0,0 +1,85 @@
+// Package rules reads the text that operators write and turns it into a Set.
+//
+// A text is good or bad as a whole, and only the text decides: every node that
+// reads the same text comes to the same verdict.
+//
+// # Usage
+//
+//	s, err := rules.Parse(text)
+//	if err != nil {
+//		return err // a *rules.FaultsError that lists every fault with its place
+//	}
+//	r, ok := s.Route("GET", "/lines/7")
+package rules
+
+import "time"
+
+// Set is a checked text of rules. A Set is never changed once it is made, so
+// any number of goroutines may read it.
+type Set struct {
+	Services  []Service
+	Routes    []Route
+	Budget    Budget
+	Centres   []Out
+	Instances []Out
+}
+
+// Origin tells where a rule stands and who asked for it.
+type Origin struct {
+	Line int
+	Who  string
+	Why  string
+}
+
+// Service holds the limits of each backend server of one service.
+type Service struct {
+	Name string
+	// Slots is the number of requests that a warm backend server runs at once.
+	Slots int
+	// Connections is the number of connections that a backend server accepts.
+	Connections int
+	// Cold is the number of requests that a backend server in cold start runs at once.
+	Cold int
+	// Warm is the number of completed requests after which a backend server is warm.
+	Warm int
+	// Queue is the longest time that a request waits at a busy backend server.
+	Queue time.Duration
+	// Shed tells that a backend server of this service answers 503 only before it runs a request.
+	Shed   bool
+	Origin Origin
+}
+
+// Route tells how requests of one method and path are served.
+type Route struct {
+	Method string
+	// Path is a literal path, or a prefix that ends in "*".
+	Path       string
+	Service    string
+	Idempotent bool
+	// Time is the longest time that a caller waits for the head of the answer.
+	Time time.Duration
+	// Rank orders requests when all slots are busy; 1 goes first.
+	Rank int
+	// Body is the largest request body in bytes.
+	Body   int64
+	Origin Origin
+}
+
+// Budget bounds the work that the system adds of its own.
+type Budget struct {
+	// Probe is the largest number of probes a second that a node sends, and that a node answers.
+	Probe int
+	// Look is the largest number of health reads a second that a node makes of its backend server.
+	Look int
+	// Retry is the largest share of requests that are retried, from 0 to 1.
+	Retry float64
+	// Hedge is the largest share of requests that are hedged, from 0 to 1.
+	Hedge  float64
+	Origin Origin
+}
+
+// Out takes a data centre or an instance out of service.
+type Out struct {
+	Name   string
+	Origin Origin
+}
