--- /dev/null
+++ b/core/clock/clock_test.go
@@ -0,0 +1,56 @@
+package clock_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/clock"
+)
+
+func ExampleClock() {
+	c := clock.New()
+	fmt.Println(c.Now(time.Unix(0, 5)), c.Now(time.Unix(0, 4)))
+	fmt.Println(c.Merge(time.Unix(0, 6), clock.Stamp{Wall: 9, Count: 2}))
+	// Output:
+	// 5.0 5.1
+	// 9.3
+}
+
+// TestStampsGrow sends messages between two clocks, one of them skewed.
+func TestStampsGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clocks := []*clock.Clock{clock.New(), clock.New()}
+		last := make([]clock.Stamp, 2)
+		for range 50 {
+			i := rapid.IntRange(0, 1).Draw(t, "clock")
+			now := time.Unix(1000, rapid.Int64Range(0, 20).Draw(t, "now")).Add(time.Duration(i) * clock.MaxSkew / 2)
+			seen := last[1-i]
+			if rapid.Bool().Draw(t, "far") {
+				seen.Wall = now.Add(2 * clock.MaxSkew).UnixNano()
+			}
+			before := clocks[i].Skewed()
+			s := clocks[i].Merge(now, seen)
+			far := clocks[i].Skewed() > before
+			if s.Compare(last[i]) <= 0 || far == (s.Compare(seen) > 0) {
+				t.Fatalf("%v follows %v and %v", s, last[i], seen)
+			}
+			last[i] = s
+			if p, err := clock.Parse(s.String()); err != nil || p != s {
+				t.Fatalf("%v: %v", p, err)
+			}
+		}
+	})
+}
+
+func TestParseFails(t *testing.T) {
+	for _, text := range []string{"", "1", "x.1", "1.x", "1.4294967296"} {
+		_, err := clock.Parse(text)
+		if fault := new(clock.ParseError); !errors.As(err, &fault) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
