--- /dev/null
+++ b/core/depth/depth_test.go
@@ -0,0 +1,66 @@
+package depth_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/depth"
+)
+
+func ExampleEnter() {
+	c, _ := depth.Enter(depth.Call{}, time.Second)
+	below, _ := c.Leave(200 * time.Millisecond)
+	fmt.Println(below.NoRetry())
+	_, err := below.Leave(time.Second)
+	fmt.Println(err)
+	// Output:
+	// 1/800ms/final
+	// leave: deadline of the call at depth 1 passed by 200ms
+}
+
+// TestChain follows a chain of calls, each with its own limit, until it fails.
+func TestChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		left := time.Duration(1 << 62)
+		call, final := depth.Call{}, false
+		for level := 1; ; level++ {
+			limit := time.Duration(rapid.Int64Range(0, 1<<40).Draw(t, "limit"))
+			spent := time.Duration(rapid.Int64Range(-1, 1<<36).Draw(t, "spent"))
+			left = min(left, limit)
+			entered, err := depth.Enter(call, limit)
+			if err == nil {
+				left -= max(spent, 0)
+				call, err = entered.Leave(spent)
+			}
+			if err != nil {
+				deep, late := new(depth.NestError), new(depth.DeadlineError)
+				if errors.As(err, &deep) != (level > depth.MaxDepth) || errors.As(err, &late) != (level <= depth.MaxDepth && left <= 0) {
+					t.Fatalf("level %d with %v left: %v", level, left, err)
+				}
+				return
+			}
+			if rapid.Bool().Draw(t, "retries") {
+				call, final = call.NoRetry(), true
+			}
+			if want := (depth.Call{Depth: level, Left: left, Final: final}); call != want {
+				t.Fatalf("got %v, want %v", call, want)
+			}
+			if call, err = depth.Parse(call.String()); err != nil || call.Left != left || call.Final != final {
+				t.Fatalf("got %v: %v", call, err)
+			}
+		}
+	})
+}
+
+func TestParseFails(t *testing.T) {
+	for _, text := range []string{"1", "x/1s", "-1/1s", "20/1s", "1/-1s", "1/x", "1/1s/x", "1/1s/final/final"} {
+		_, err := depth.Parse(text)
+		if fault := new(depth.ParseError); !errors.As(err, &fault) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
