--- /dev/null
+++ b/core/ramp/ramp_test.go
@@ -0,0 +1,62 @@
+package ramp_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/ramp"
+)
+
+func ExampleRamp() {
+	r := ramp.New(2, 10, 4)
+	for range 5 {
+		fmt.Println(r.Bound(), r.IsCold())
+		r.Complete()
+	}
+	// Output:
+	// 2 true
+	// 4 true
+	// 6 true
+	// 8 true
+	// 10 false
+}
+
+func TestResizeKeepsWarm(t *testing.T) {
+	c := qt.New(t)
+	r := ramp.New(1, 10, 2)
+	r.Complete()
+	r.Complete()
+	r.Resize(1, 20, 100)
+	c.Assert(r.Bound(), qt.Equals, 20)
+	r.Cold()
+	c.Assert(r.Bound(), qt.Equals, 1)
+}
+
+func TestBoundGrowsOnlyWithCompletedWork(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		full := rapid.IntRange(1, 50).Draw(r, "full")
+		cold := rapid.IntRange(1, full).Draw(r, "cold")
+		warm := rapid.IntRange(0, 100).Draw(r, "warm")
+		m := ramp.New(cold, full, warm)
+		done := 0
+		for _, complete := range rapid.SliceOf(rapid.Bool()).Draw(r, "steps") {
+			if complete {
+				m.Complete()
+				done++
+			} else {
+				m.Cold()
+				done = 0
+			}
+			want := full
+			if done < warm {
+				want = cold + (full-cold)*done/warm
+			}
+			if m.Bound() != want {
+				r.Fatalf("bound %d after %d of %d, want %d", m.Bound(), done, warm, want)
+			}
+		}
+	})
+}
