--- /dev/null
+++ b/core/pick/aware.go
@@ -0,0 +1,107 @@
+package pick
+
+import "time"
+
+const (
+	// fade is the age at which a report counts half.
+	fade = 50 * time.Millisecond
+	// busy is the load, as a share of the limit, from which other data centres
+	// are considered.
+	busy = 0.8
+	// distance is the load by which another data centre has to be better.
+	distance = 0.2
+	// avoid is the time for which a candidate is avoided after one failure. It
+	// doubles with each further failure.
+	avoid = 10 * time.Millisecond
+	// avoidDoublings bounds the doublings of avoid.
+	avoidDoublings = 7
+	// full is the load of a candidate that has no room.
+	full = 1.0
+	// barred is added to the load of a candidate that is to be avoided.
+	barred = 1000.0
+)
+
+// Aware is the policy of the project. It draws two candidates of the entry's
+// own data centre and takes the one with the lower load: the reported load,
+// fading with its age, and the entry's own outstanding requests. The backend
+// server beside the entry goes first while it bears the work as well. When the
+// data centre is busy, other data centres join by their load. A candidate that
+// failed lately, or one in cold start without room, is taken last.
+type Aware struct{}
+
+var _ Policy = (*Aware)(nil)
+
+// NewAware returns an Aware.
+func NewAware() *Aware { return &Aware{} }
+
+// Pick returns the chosen candidate.
+func (a *Aware) Pick(now time.Time, random uint64, candidates []Candidate) (int, bool) {
+	if len(candidates) == 0 {
+		return 0, false
+	}
+	best, load := draw(now, random, candidates, true)
+	if best < 0 || load > busy {
+		far, farLoad := draw(now, random, candidates, false)
+		if best < 0 || far >= 0 && farLoad+distance < load {
+			best, load = far, farLoad
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Beside && c.load(now) <= load+1/float64(max(c.Limit, 1)) {
+			return i, true
+		}
+	}
+	return best, true
+}
+
+// draw returns the better of two random candidates that are near, or of two that
+// are not, with its load. The index is -1 if there is none.
+func draw(now time.Time, random uint64, candidates []Candidate, near bool) (index int, load float64) {
+	count := 0
+	for i := range candidates {
+		if candidates[i].Near == near {
+			count++
+		}
+	}
+	if count == 0 {
+		return -1, 0
+	}
+	first, second := two(random, count)
+	index, k := -1, 0
+	for i := range candidates {
+		if candidates[i].Near != near {
+			continue
+		}
+		if k == first || k == second {
+			l := candidates[i].load(now)
+			if index < 0 || l < load || l == load && k == first {
+				index, load = i, l
+			}
+		}
+		k++
+	}
+	return index, load
+}
+
+// load returns the load of c as a share of its limit. It is far above 1 when c is
+// to be avoided.
+func (c *Candidate) load(now time.Time) float64 {
+	weight := 0.0
+	if !c.Reported.IsZero() {
+		age := max(now.Sub(c.Reported), 0)
+		weight = float64(fade) / float64(fade+age)
+	}
+	known := weight*float64(c.InFlight+c.Queued) + float64(c.Outstanding)
+	load := known / float64(max(c.Limit, 1))
+	if c.Failures > 0 {
+		doublings := min(c.Failures-1, avoidDoublings)
+		if now.Sub(c.Failed) < avoid<<doublings {
+			load += barred
+		}
+	}
+	if c.Cold && load >= full {
+		load += barred
+	}
+	return load
+}
--- /dev/null
+++ b/core/pick/pick_test.go
@@ -0,0 +1,130 @@
+package pick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/pick"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// policies returns one of each policy.
+func policies() map[string]pick.Policy {
+	return map[string]pick.Policy{
+		"aware":    pick.NewAware(),
+		"robin":    pick.NewRoundRobin(),
+		"least":    pick.NewLeastOutstanding(),
+		"local":    pick.NewTwoLocal(),
+		"reported": pick.NewTwoReported(),
+		"probing":  pick.NewProbing(),
+	}
+}
+
+func ExampleAware() {
+	p := pick.NewAware()
+	candidates := []pick.Candidate{
+		{Near: true, Limit: 10, InFlight: 9, Reported: now},
+		{Near: true, Limit: 10, InFlight: 2, Reported: now},
+		{Near: false, Limit: 10, InFlight: 0, Reported: now},
+	}
+	i, ok := p.Pick(now, 7, candidates)
+	fmt.Println(i, ok)
+	// Output: 1 true
+}
+
+func TestAware(t *testing.T) {
+	idle := pick.Candidate{Near: true, Limit: 10, Reported: now}
+	full := pick.Candidate{Near: true, Limit: 10, InFlight: 10, Reported: now}
+	far := pick.Candidate{Limit: 10, Reported: now}
+	failing := pick.Candidate{Near: true, Limit: 10, Reported: now, Failed: now, Failures: 1}
+	cold := pick.Candidate{Near: true, Limit: 1, Outstanding: 1, Cold: true, Reported: now}
+	beside := pick.Candidate{Near: true, Beside: true, Limit: 10, Reported: now}
+	fullBeside := pick.Candidate{Near: true, Beside: true, Limit: 10, InFlight: 10, Reported: now}
+	busy := pick.Candidate{Near: true, Limit: 10, InFlight: 5, Reported: now}
+	tests := []struct {
+		name       string
+		candidates []pick.Candidate
+		want       int
+	}{
+		{name: "the less loaded", candidates: []pick.Candidate{full, idle}, want: 1},
+		{name: "own data centre first", candidates: []pick.Candidate{far, busy}, want: 1},
+		{name: "spill by load", candidates: []pick.Candidate{far, full}, want: 0},
+		{name: "failing one", candidates: []pick.Candidate{failing, busy}, want: 1},
+		{name: "cold one without room", candidates: []pick.Candidate{cold, full}, want: 1},
+		{name: "beside", candidates: []pick.Candidate{idle, idle, beside}, want: 2},
+		{name: "beside is full", candidates: []pick.Candidate{idle, idle, fullBeside}, want: -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			random := rand.New(rand.NewPCG(1, 1))
+			p := pick.NewAware()
+			for range 100 {
+				i, ok := p.Pick(now, random.Uint64(), tt.candidates)
+				c.Assert(ok, qt.IsTrue)
+				if tt.want < 0 {
+					c.Assert(i, qt.Not(qt.Equals), 2)
+				} else {
+					c.Assert(i, qt.Equals, tt.want)
+				}
+			}
+		})
+	}
+}
+
+func TestPickIsInRange(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		candidates := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) pick.Candidate {
+			return pick.Candidate{
+				Near:        rapid.Bool().Draw(r, "near"),
+				Beside:      rapid.Bool().Draw(r, "beside"),
+				Limit:       rapid.IntRange(0, 20).Draw(r, "limit"),
+				InFlight:    rapid.IntRange(0, 20).Draw(r, "in flight"),
+				Outstanding: rapid.IntRange(0, 20).Draw(r, "outstanding"),
+				Cold:        rapid.Bool().Draw(r, "cold"),
+				Reported:    now.Add(time.Duration(rapid.IntRange(-2000, 10).Draw(r, "reported")) * time.Millisecond),
+				Failures:    rapid.IntRange(0, 100).Draw(r, "failures"),
+			}
+		}), 0, 20).Draw(r, "candidates")
+		random := rapid.Uint64().Draw(r, "random")
+		for name, p := range policies() {
+			i, ok := p.Pick(now, random, candidates)
+			if ok != (len(candidates) > 0) || ok && (i < 0 || i >= len(candidates)) {
+				r.Fatalf("%s picked %d, %v of %d", name, i, ok, len(candidates))
+			}
+		}
+	})
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	candidates := make([]pick.Candidate, 13)
+	for name, p := range policies() {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			count := testing.AllocsPerRun(100, func() { p.Pick(now, 12345, candidates) })
+			c.Assert(count, qt.Equals, 0.0)
+		})
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := make([]pick.Candidate, 13)
+	for i := range candidates {
+		candidates[i] = pick.Candidate{Near: i < 4, Limit: 10, InFlight: random.IntN(10), Reported: now}
+	}
+	for name, p := range policies() {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(now, random.Uint64(), candidates)
+			}
+		})
+	}
+}
