--- /dev/null
+++ b/core/rules/key.go
@@ -0,0 +1,185 @@
+package rules
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Bounds of the values of keys.
+const (
+	maxNameBytes   = 32
+	maxMethodBytes = 16
+	maxSlots       = 65_536
+	maxConnections = 1_048_576
+	maxWarm        = 1_000_000
+	maxRate        = 10_000 // a second
+	maxRank        = 9
+	maxDuration    = 24 * time.Hour
+	maxBodyBytes   = 1_000 * gigabyte
+)
+
+// key reads and shows one KEY=VALUE pair of a rule that is kept in a T.
+type key[T any] struct {
+	name string
+	// want describes the good values.
+	want string
+	// example is a good value.
+	example string
+	// required tells that the key has no default.
+	required bool
+	// read sets the value and tells whether it is a good one.
+	read func(record *T, text string) bool
+	// show returns the value in the form that read accepts.
+	show func(record *T) string
+}
+
+// serviceKeys lists the keys of a service rule.
+var serviceKeys = []key[Service]{
+	required(intKey("slots", 1, maxSlots, "10", func(s *Service) *int { return &s.Slots })),
+	intKey("conns", 1, maxConnections, "250", func(s *Service) *int { return &s.Connections }),
+	intKey("cold", 1, maxSlots, "2", func(s *Service) *int { return &s.Cold }),
+	intKey("warm", 1, maxWarm, "40", func(s *Service) *int { return &s.Warm }),
+	durationKey("queue", 0, "5ms", func(s *Service) *time.Duration { return &s.Queue }),
+	boolKey("shed", func(s *Service) *bool { return &s.Shed }),
+}
+
+// routeKeys lists the keys of a route rule.
+var routeKeys = []key[Route]{
+	required(nameKey("service", "ledger", func(r *Route) *string { return &r.Service })),
+	required(boolKey("idempotent", func(r *Route) *bool { return &r.Idempotent })),
+	durationKey("time", time.Nanosecond, "2s", func(r *Route) *time.Duration { return &r.Time }),
+	intKey("rank", 1, maxRank, "3", func(r *Route) *int { return &r.Rank }),
+	sizeKey("body", "1MB", func(r *Route) *int64 { return &r.Body }),
+}
+
+// budgetKeys lists the keys of a budget rule.
+var budgetKeys = []key[Budget]{
+	intKey("probe", 0, maxRate, "5", func(b *Budget) *int { return &b.Probe }),
+	intKey("look", 0, maxRate, "2", func(b *Budget) *int { return &b.Look }),
+	shareKey("retry", "10%", func(b *Budget) *float64 { return &b.Retry }),
+	shareKey("hedge", "2%", func(b *Budget) *float64 { return &b.Hedge }),
+}
+
+// outNames holds the names that an out rule may give; one of them is set.
+type outNames struct {
+	centre   string
+	instance string
+}
+
+// outKeys lists the keys of an out rule.
+var outKeys = []key[outNames]{
+	nameKey("centre", "north", func(o *outNames) *string { return &o.centre }),
+	nameKey("instance", "north-1", func(o *outNames) *string { return &o.instance }),
+}
+
+// required returns k without a default.
+func required[T any](k key[T]) key[T] {
+	k.required = true
+	return k
+}
+
+// intKey returns a key whose value is a whole number from low to high.
+func intKey[T any](name string, low, high int, example string, at func(*T) *int) key[T] {
+	return key[T]{
+		name:    name,
+		want:    fmt.Sprintf("a whole number from %d to %d", low, high),
+		example: example,
+		read: func(record *T, text string) bool {
+			n, ok := parseDigits(text)
+			if !ok || n < int64(low) || n > int64(high) {
+				return false
+			}
+			*at(record) = int(n)
+			return true
+		},
+		show: func(record *T) string { return strconv.Itoa(*at(record)) },
+	}
+}
+
+// durationKey returns a key whose value is a duration of at least low.
+func durationKey[T any](name string, low time.Duration, example string, at func(*T) *time.Duration) key[T] {
+	return key[T]{
+		name:    name,
+		want:    fmt.Sprintf("a duration with its unit from %v to %v", low, maxDuration),
+		example: example,
+		read: func(record *T, text string) bool {
+			d, err := time.ParseDuration(text)
+			if err != nil || d < low || d > maxDuration {
+				return false
+			}
+			*at(record) = d
+			return true
+		},
+		show: func(record *T) string { return at(record).String() },
+	}
+}
+
+// boolKey returns a key whose value is yes or no.
+func boolKey[T any](name string, at func(*T) *bool) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "yes or no",
+		example: "no",
+		read: func(record *T, text string) bool {
+			*at(record) = text == "yes"
+			return text == "yes" || text == "no"
+		},
+		show: func(record *T) string {
+			if *at(record) {
+				return "yes"
+			}
+			return "no"
+		},
+	}
+}
+
+// shareKey returns a key whose value is a percentage, kept as a share from 0 to 1.
+func shareKey[T any](name, example string, at func(*T) *float64) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "a percentage from 0% to 100% with at most two decimals",
+		example: example,
+		read: func(record *T, text string) bool {
+			n, ok := parsePercent(text)
+			if !ok {
+				return false
+			}
+			*at(record) = float64(n) / hundredths
+			return true
+		},
+		show: func(record *T) string { return formatPercent(*at(record)) },
+	}
+}
+
+// sizeKey returns a key whose value is a number of bytes with its unit.
+func sizeKey[T any](name, example string, at func(*T) *int64) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "a size in B, KB, MB or GB up to 1000GB",
+		example: example,
+		read: func(record *T, text string) bool {
+			n, ok := parseSize(text)
+			if !ok {
+				return false
+			}
+			*at(record) = n
+			return true
+		},
+		show: func(record *T) string { return formatSize(*at(record)) },
+	}
+}
+
+// nameKey returns a key whose value is a name.
+func nameKey[T any](name, example string, at func(*T) *string) key[T] {
+	return key[T]{
+		name:    name,
+		want:    wantName,
+		example: example,
+		read: func(record *T, text string) bool {
+			*at(record) = text
+			return isName(text)
+		},
+		show: func(record *T) string { return *at(record) },
+	}
+}
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -14,14 +14,17 @@
 
 import "time"
 
-// Set is a checked text of rules. A Set is never changed once it is made, so
-// any number of goroutines may read it.
+// Set is a checked text of rules. Parse makes it; a Set that was put together by
+// hand finds no route. A Set is never changed once it is made, so any number of
+// goroutines may read it.
 type Set struct {
 	Services  []Service
 	Routes    []Route
 	Budget    Budget
 	Centres   []Out
 	Instances []Out
+
+	index index
 }
 
 // Origin tells where a rule stands and who asked for it.
--- /dev/null
+++ b/core/rules/value.go
@@ -0,0 +1,101 @@
+package rules
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Units of sizes, in bytes.
+const (
+	kilobyte = 1_000
+	megabyte = 1_000 * kilobyte
+	gigabyte = 1_000 * megabyte
+)
+
+// hundredths is the number of hundredths of a percent in the whole.
+const hundredths = 10_000
+
+// wantName describes the good names.
+const wantName = "a name of 1 to 32 of a-z, 0-9 and -"
+
+// isName tells whether text may name a service, a data centre or an instance.
+func isName(text string) bool {
+	if text == "" || len(text) > maxNameBytes {
+		return false
+	}
+	return consistsOf(text, "abcdefghijklmnopqrstuvwxyz0123456789-")
+}
+
+// consistsOf tells whether text holds nothing but bytes of allowed.
+func consistsOf(text, allowed string) bool {
+	for i := range len(text) {
+		if strings.IndexByte(allowed, text[i]) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// parseDigits reads a whole number that is written in digits alone.
+func parseDigits(text string) (int64, bool) {
+	if text == "" || !consistsOf(text, "0123456789") {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	return n, err == nil
+}
+
+// parsePercent reads a percentage and returns it in hundredths of a percent.
+func parsePercent(text string) (int64, bool) {
+	number, found := strings.CutSuffix(text, "%")
+	if !found {
+		return 0, false
+	}
+	whole, decimals, point := strings.Cut(number, ".")
+	if len(decimals) > 2 || point && decimals == "" {
+		return 0, false
+	}
+	n, ok := parseDigits(whole + decimals + "00"[len(decimals):])
+	return n, ok && whole != "" && n <= hundredths
+}
+
+// formatPercent returns a share from 0 to 1 as a percentage.
+func formatPercent(share float64) string {
+	return strconv.FormatFloat(math.Round(share*hundredths)/100, 'f', -1, 64) + "%"
+}
+
+// unit is a unit of sizes.
+type unit struct {
+	name  string
+	bytes int64
+}
+
+// units lists the units of sizes, the largest first.
+var units = []unit{{"GB", gigabyte}, {"MB", megabyte}, {"KB", kilobyte}, {"B", 1}}
+
+// parseSize reads a number of bytes with its unit.
+func parseSize(text string) (int64, bool) {
+	for _, u := range units {
+		number, found := strings.CutSuffix(text, u.name)
+		if !found {
+			continue
+		}
+		n, ok := parseDigits(number)
+		if !ok || n > maxBodyBytes/u.bytes {
+			return 0, false
+		}
+		return n * u.bytes, true
+	}
+	return 0, false
+}
+
+// formatSize returns a number of bytes in the largest unit that divides it.
+func formatSize(n int64) string {
+	for _, u := range units {
+		if n >= u.bytes && n%u.bytes == 0 {
+			return strconv.FormatInt(n/u.bytes, 10) + u.name
+		}
+	}
+	return strconv.FormatInt(n, 10) + "B"
+}
