feat(core): add the reducer of a node with its entry, guard and views

Cause: the parts need one place that decides, free of clock and sockets. Checked: go vet; the behaviour is not yet tested.

--- /dev/null
+++ b/core/entry/call.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"errors"
+	"time"
+
+	"bulrushlock/core/depth"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/owner"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/ticket"
+)
+
+// sampleEvery is the number of idempotent attempts of which one is put into the time line.
+const sampleEvery = 128
+
+// call is a request that is not yet settled.
+type call struct {
+	id       uint64
+	route    rules.Route
+	class    int
+	key      string
+	first    bool
+	once     bool
+	depth    depth.Call
+	deadline time.Time
+	// last is the ticket of the last attempt, or of the attempt that is asked after.
+	last *ticket.Ticket
+	// recovers tells that the caller asks after an earlier attempt.
+	recovers bool
+	active   []ticket.Ticket
+	tried    []string
+	attempts int
+	lives    int
+	asks     int
+}
+
+// hasTried reports whether an attempt of c went to the instance of the given name.
+func (c *call) hasTried(name string) bool {
+	for _, t := range c.tried {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// isActive reports whether the exchange of t has not ended.
+func (c *call) isActive(t ticket.Ticket) bool {
+	for _, a := range c.active {
+		if a == t {
+			return true
+		}
+	}
+	return false
+}
+
+// end takes t out of the attempts whose exchange has not ended.
+func (c *call) end(t ticket.Ticket) {
+	for i, a := range c.active {
+		if a == t {
+			c.active = append(c.active[:i], c.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// Request starts to follow a caller's request.
+func (n *Entry) Request(e event.Request, out []effect.Effect) []effect.Effect {
+	c := &call{id: e.ID, key: e.Key, first: e.First, once: e.Once}
+	if n.set == nil {
+		return n.reply(c, effect.NotRun, effect.ReasonRules, out)
+	}
+	r, ok := n.set.Route(e.Method, e.Path)
+	if !ok {
+		return n.reply(c, effect.NotRun, effect.ReasonRoute, out)
+	}
+	c.route = r
+	c.class = n.classes[route{method: r.Method, path: r.Path}]
+	if e.Size > r.Body {
+		return n.reply(c, effect.NotRun, effect.ReasonBody, out)
+	}
+	limits, err := depth.Enter(e.Call, r.Time)
+	if err != nil {
+		return n.reply(c, effect.NotRun, reasonOfLimits(err), out)
+	}
+	c.depth = limits
+	c.deadline = e.At.Add(limits.Left)
+	n.calls[c.id] = c
+	if e.Ticket != nil {
+		return n.recover(c, e.Ticket, out)
+	}
+	n.retries.Deposit()
+	n.hedges.Deposit()
+	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
+}
+
+// reasonOfLimits returns the reason for which a call with broken limits is refused.
+func reasonOfLimits(err error) effect.Reason {
+	var nested *depth.NestError
+	if errors.As(err, &nested) {
+		return effect.ReasonDepth
+	}
+	return effect.ReasonDeadline
+}
+
+// recover asks the guard of an earlier attempt what became of it.
+func (n *Entry) recover(c *call, t *ticket.Ticket, out []effect.Effect) []effect.Effect {
+	c.last = t
+	c.recovers = true
+	return n.ask(c, 0, out)
+}
+
+// keyOwner returns the peer that owns the key of c, or nil where there is none.
+func (n *Entry) keyOwner(c *call) *peer {
+	if c.attempts > c.lives {
+		return nil
+	}
+	peers := n.services[c.route.Service]
+	names := make([]string, len(peers))
+	for i, p := range peers {
+		names[i] = p.instance.Name
+	}
+	name, ok := owner.Of(c.key, c.route.Service, names)
+	if !ok {
+		return nil
+	}
+	return n.peers[name]
+}
+
+// forward sends an attempt of c to a peer that it chooses. Where there is none,
+// the caller is told that the request did not run, for reason.
+func (n *Entry) forward(now time.Time, random uint64, c *call, reason effect.Reason, out []effect.Effect) []effect.Effect {
+	p := n.choose(now, random, c)
+	if p == nil {
+		return n.reply(c, effect.NotRun, reason, out)
+	}
+	return n.send(now, random, c, p, out)
+}
+
+// send sends an attempt of c to p.
+func (n *Entry) send(now time.Time, random uint64, c *call, p *peer, out []effect.Effect) []effect.Effect {
+	n.sequence++
+	t := ticket.Ticket{
+		Entry:    n.identity.Node,
+		Sequence: n.sequence,
+		Nonce:    random,
+		Guard:    ticket.Node{Instance: p.instance.Name, Incarnation: p.incarnation},
+		Service:  c.route.Service,
+	}
+	c.last = &t
+	c.attempts++
+	c.active = append(c.active, t)
+	c.tried = append(c.tried, p.instance.Name)
+	p.outstanding++
+	if !c.route.Idempotent || t.Sequence%sampleEvery == 0 {
+		out = append(out, effect.Note{Kind: effect.KindAttempt, Ticket: &t})
+	}
+	call := c.depth
+	call.Left = c.deadline.Sub(now)
+	return append(out, effect.Forward{
+		ID:       c.id,
+		Ticket:   t,
+		Peer:     p.instance,
+		Route:    c.route,
+		Call:     call,
+		Class:    c.class,
+		Key:      c.key,
+		First:    c.first,
+		Versions: n.versions,
+		Local:    p.instance.Name == n.identity.Node.Instance,
+		Hedge:    n.hedgeDelay(c),
+	})
+}
+
+// ask asks the guard of the last attempt of c what became of it.
+func (n *Entry) ask(c *call, wait time.Duration, out []effect.Effect) []effect.Effect {
+	p, ok := n.peers[c.last.Guard.Instance]
+	if !ok {
+		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
+	}
+	c.asks++
+	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: true, Wait: wait})
+}
+
+// cancelAll gives up the attempts of c whose exchange has not ended.
+func (n *Entry) cancelAll(c *call, out []effect.Effect) []effect.Effect {
+	for _, t := range c.active {
+		if p, ok := n.peers[t.Guard.Instance]; ok {
+			p.outstanding = max(0, p.outstanding-1)
+		}
+		out = append(out, effect.Cancel{ID: c.id, Ticket: t})
+	}
+	c.active = c.active[:0]
+	return out
+}
+
+// Gone forgets a request whose caller has left or was answered.
+func (n *Entry) Gone(e event.Gone, out []effect.Effect) []effect.Effect {
+	c, ok := n.calls[e.ID]
+	if !ok {
+		return out
+	}
+	out = n.cancelAll(c, out)
+	delete(n.calls, e.ID)
+	return out
+}
--- /dev/null
+++ b/core/entry/entry.go
@@ -0,0 +1,181 @@
+// Package entry is the half of a node that takes a caller's request, chooses a
+// backend server, and follows the request until its outcome is known.
+//
+// # Usage
+//
+//	n := entry.New(entry.Identity{Node: self, Centre: "north"}, pick.NewAware())
+//	n.Apply(set, instances)
+//	out = n.Request(e, out)
+//	out = n.Answered(answered, out)
+package entry
+
+import (
+	"time"
+
+	"bulrushlock/core/budget"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/ticket"
+)
+
+const (
+	// statusServerError is the first HTTP status of a failure of the server.
+	statusServerError = 500
+	// mostAttempts is the largest number of attempts of one request.
+	mostAttempts = 4
+	// budgetReserve is the number of extra attempts that a quiet entry may make.
+	budgetReserve = 10
+)
+
+// Identity tells what an entry stands for.
+type Identity struct {
+	Node   ticket.Node
+	Centre string
+}
+
+// Entry follows the requests of its callers.
+type Entry struct {
+	identity Identity
+	policy   pick.Policy
+	set      *rules.Set
+	peers    map[string]*peer
+	order    []*peer
+	services map[string][]*peer
+	classes  map[route]int
+	calls    map[uint64]*call
+	sequence uint64
+	retries  *budget.Budget
+	hedges   *budget.Budget
+	delays   map[int]*delay
+	versions event.Versions
+	scratch  []pick.Candidate
+	eligible []*peer
+}
+
+// route is the part of a rule that names a class of requests.
+type route struct {
+	method string
+	path   string
+}
+
+// New returns an entry that knows no rules and no backend servers.
+func New(i Identity, p pick.Policy) *Entry {
+	return &Entry{
+		identity: i,
+		policy:   p,
+		peers:    make(map[string]*peer),
+		services: make(map[string][]*peer),
+		classes:  make(map[route]int),
+		calls:    make(map[uint64]*call),
+		retries:  budget.New(0, budgetReserve),
+		hedges:   budget.New(0, 1),
+		delays:   make(map[int]*delay),
+	}
+}
+
+// Apply takes over a set of rules and a list of instances.
+func (n *Entry) Apply(s *rules.Set, instances []fleet.Instance) {
+	n.set = s
+	n.applyRoutes(s)
+	n.applyPeers(instances)
+	clear(n.services)
+	for _, i := range instances {
+		if i.Leaving || s.IsOut(i.Name, i.Centre) {
+			continue
+		}
+		n.services[i.Service] = append(n.services[i.Service], n.peers[i.Name])
+	}
+}
+
+// applyRoutes takes over the classes and the budgets of s.
+func (n *Entry) applyRoutes(s *rules.Set) {
+	clear(n.classes)
+	clear(n.delays)
+	for i, r := range s.Routes {
+		n.classes[route{method: r.Method, path: r.Path}] = i
+	}
+	n.retries.SetShare(s.Budget.Retry)
+	n.hedges.SetShare(s.Budget.Hedge)
+}
+
+// applyPeers keeps what is known of the peers that are still listed.
+func (n *Entry) applyPeers(instances []fleet.Instance) {
+	peers := make(map[string]*peer, len(instances))
+	n.order = n.order[:0]
+	for _, i := range instances {
+		p, ok := n.peers[i.Name]
+		if !ok || p.instance.Nodes != i.Nodes {
+			p = &peer{}
+		}
+		p.instance = i
+		peers[i.Name] = p
+		n.order = append(n.order, p)
+	}
+	n.peers = peers
+}
+
+// SetVersions sets the versions that ride on attempts.
+func (n *Entry) SetVersions(v event.Versions) { n.versions = v }
+
+// Busy returns the number of requests that are not yet settled.
+func (n *Entry) Busy() int { return len(n.calls) }
+
+// Peer returns the instance of the given name.
+func (n *Entry) Peer(name string) (fleet.Instance, bool) {
+	p, ok := n.peers[name]
+	if !ok {
+		return fleet.Instance{}, false
+	}
+	return p.instance, true
+}
+
+// Learn takes over the present life of a peer.
+func (n *Entry) Learn(node ticket.Node) {
+	if p, ok := n.peers[node.Instance]; ok && node.Incarnation != 0 {
+		p.incarnation = node.Incarnation
+	}
+}
+
+// Loaded takes over the load that a peer told in answer to a probe.
+func (n *Entry) Loaded(e event.Loaded) {
+	n.Learn(e.Guard)
+	if p, ok := n.peers[e.Guard.Instance]; ok {
+		p.load = e.Load
+		p.reported = e.At
+	}
+}
+
+// choose returns the peer that gets the next attempt of c, or nil where there is none.
+func (n *Entry) choose(now time.Time, random uint64, c *call) *peer {
+	if c.key != "" && !c.route.Idempotent {
+		return n.keyOwner(c)
+	}
+	n.eligible = n.eligible[:0]
+	n.scratch = n.scratch[:0]
+	for _, p := range n.services[c.route.Service] {
+		if c.hasTried(p.instance.Name) || p.isLeaving(now) {
+			continue
+		}
+		n.eligible = append(n.eligible, p)
+		n.scratch = append(n.scratch, p.candidate(n.identity.Node, n.identity.Centre))
+	}
+	i, ok := n.policy.Pick(now, random, n.scratch)
+	if !ok {
+		return nil
+	}
+	return n.eligible[i]
+}
+
+// reply settles c without an answer of a backend server.
+func (n *Entry) reply(c *call, o effect.Outcome, r effect.Reason, out []effect.Effect) []effect.Effect {
+	out = n.cancelAll(c, out)
+	delete(n.calls, c.id)
+	t := c.last
+	if o == effect.Unknown {
+		out = append(out, effect.Note{Kind: effect.KindUnknown, Text: string(r), Ticket: t})
+	}
+	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t})
+}
--- /dev/null
+++ b/core/entry/peer.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"time"
+
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/report"
+	"bulrushlock/core/ticket"
+)
+
+// latencyWeight is the weight of a new latency in the average of a peer.
+const latencyWeight = 0.2
+
+// leavingTime is the time for which a guard's word that it is leaving is believed.
+const leavingTime = 5 * time.Second
+
+// peer is what an entry knows of one guard and its backend server.
+type peer struct {
+	instance    fleet.Instance
+	incarnation uint64
+	load        report.Load
+	reported    time.Time
+	outstanding int
+	failed      time.Time
+	failures    int
+	latency     time.Duration
+}
+
+// candidate returns the peer as a policy sees it.
+func (p *peer) candidate(self ticket.Node, centre string) pick.Candidate {
+	return pick.Candidate{
+		Near:        p.instance.Centre == centre,
+		Beside:      p.instance.Name == self.Instance,
+		Limit:       p.load.Limit,
+		InFlight:    p.load.InFlight,
+		Queued:      p.load.Queued,
+		Outstanding: p.outstanding,
+		Cold:        p.load.Cold,
+		Reported:    p.reported,
+		Failed:      p.failed,
+		Failures:    p.failures,
+		Latency:     p.latency,
+	}
+}
+
+// isLeaving reports whether the guard has told lately that it takes no new work.
+func (p *peer) isLeaving(now time.Time) bool {
+	return p.load.Leaving && now.Sub(p.reported) < leavingTime
+}
+
+// observe takes over what an ended attempt shows of the peer.
+func (p *peer) observe(e event.Answered) {
+	if e.Load != nil {
+		p.load = *e.Load
+		p.reported = e.At
+	}
+	if e.Guard.Instance == p.instance.Name && e.Guard.Incarnation != 0 {
+		p.incarnation = e.Guard.Incarnation
+	}
+	switch {
+	case e.Verdict == event.Ran && e.Status < statusServerError:
+		p.failures = 0
+		p.average(e.Spent)
+	case e.Verdict == event.NotRun && e.Reason == "life":
+	default:
+		p.failures++
+		p.failed = e.At
+	}
+}
+
+// average moves the latency of the peer towards spent.
+func (p *peer) average(spent time.Duration) {
+	if p.latency == 0 {
+		p.latency = spent
+		return
+	}
+	p.latency += time.Duration(latencyWeight * float64(spent-p.latency))
+}
+
+// doubtTime is the time after a failure in which a peer is not probed.
+const doubtTime = time.Second
+
+// isDoubtful reports whether the last that the entry saw of the peer was a
+// failure, so that a probe may show that it has recovered.
+func (p *peer) isDoubtful(now time.Time) bool {
+	return p.failures > 0 && now.Sub(p.failed) > doubtTime && now.Sub(p.reported) > doubtTime
+}
+
+// Doubtful returns a peer that may have recovered from a failure.
+func (n *Entry) Doubtful(now time.Time, random uint64) (fleet.Instance, bool) {
+	var found *peer
+	seen := uint64(0)
+	for _, p := range n.order {
+		if !p.isDoubtful(now) {
+			continue
+		}
+		seen++
+		if found == nil || random%seen == 0 {
+			found = p
+		}
+	}
+	if found == nil {
+		return fleet.Instance{}, false
+	}
+	return found.instance, true
+}
--- /dev/null
+++ b/core/gossip/trust.go
@@ -0,0 +1,94 @@
+package gossip
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+)
+
+const (
+	// trustTime is the age up to which a view is trusted without being checked.
+	trustTime = 15 * time.Second
+	// checkTime is the longest time that new work waits for a check of the view.
+	checkTime = 500 * time.Millisecond
+	// recheckTime is the time between two checks of a view that nobody confirms.
+	recheckTime = time.Second
+)
+
+// Trust tells whether new work may be taken on a view.
+type Trust uint8
+
+// The degrees of trust.
+const (
+	// Fresh means that the view was confirmed lately.
+	Fresh Trust = iota
+	// Checking means that the view may be old and that a check is under way.
+	Checking
+	// Alone means that the view may be old and that nobody confirms it.
+	Alone
+)
+
+// String returns the name of the degree.
+func (t Trust) String() string {
+	return [...]string{"fresh", "checking", "alone"}[t]
+}
+
+// trust follows whether the view of the rules may be old.
+type trust struct {
+	degree  Trust
+	pending int
+	since   time.Time
+}
+
+// Trust returns the trust in the rules of this node.
+func (g *Gossip) Trust() Trust { return g.trust.degree }
+
+// confirm takes over that the view is the newest, and reports whether that is a change.
+func (t *trust) confirm() bool {
+	changed := t.degree != Fresh
+	t.degree = Fresh
+	return changed
+}
+
+// fail takes over that one check has failed, and reports whether it was the last one.
+func (t *trust) fail() bool {
+	if t.degree != Checking {
+		return false
+	}
+	t.pending--
+	if t.pending > 0 {
+		return false
+	}
+	t.degree = Alone
+	return true
+}
+
+// expire ends a check that takes too long, and reports whether it did.
+func (t *trust) expire(now time.Time) bool {
+	if t.degree != Checking || now.Sub(t.since) < checkTime {
+		return false
+	}
+	t.degree = Alone
+	return true
+}
+
+// check asks the platform and a few peers whether the view is the newest.
+func (g *Gossip) check(at time.Time, random uint64, paused bool, out []effect.Effect) (bool, []effect.Effect) {
+	t := &g.trust
+	if !paused && t.degree != Fresh && at.Sub(t.since) < recheckTime {
+		return false, out
+	}
+	changed := t.degree == Fresh || paused
+	if changed {
+		t.degree = Checking
+	}
+	t.since = at
+	before := len(out)
+	g.reads[event.Rules].pending = false
+	out = append(out, effect.Fetch{Document: event.Rules, After: g.rules.Version().Revision})
+	g.reads[event.Rules].pending = true
+	out = g.tell(at, random, checks, out)
+	t.pending = len(out) - before
+	return changed, out
+}
--- /dev/null
+++ b/core/guard/guard.go
@@ -0,0 +1,233 @@
+// Package guard is the half of a node that admits work to its own backend
+// server or refuses it. It is the only part that may do so, and it decides by
+// what it knows of itself, never by what another node believes.
+//
+// # Usage
+//
+//	g := guard.New(guard.Identity{Node: self, Centre: "north", Service: "ledger"})
+//	g.Apply(set, out)
+//	out = g.Attempt(e, gate, out)
+package guard
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/ledger"
+	"bulrushlock/core/limit"
+	"bulrushlock/core/queue"
+	"bulrushlock/core/ramp"
+	"bulrushlock/core/report"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/ticket"
+)
+
+const (
+	// KeyWindow is the time for which a key is remembered.
+	KeyWindow = 10 * time.Minute
+	// recordKeep is the time for which the ledger remembers an ended attempt.
+	recordKeep = KeyWindow
+	// recordCapacity is the number of attempts that the ledger remembers.
+	recordCapacity = 16384
+	// keyCapacity is the number of keys that are remembered.
+	keyCapacity = 8192
+	// heldCapacity is the number of attempts that wait for a view to be confirmed.
+	heldCapacity = 256
+	// heldTime is the longest time that an attempt waits for a view to be confirmed.
+	heldTime = 500 * time.Millisecond
+)
+
+// Identity tells what a guard stands for.
+type Identity struct {
+	Node    ticket.Node
+	Centre  string
+	Service string
+}
+
+// Gate is what the views of a node say of new work for its guard.
+type Gate struct {
+	// Closed is the reason for which all new work is refused, or empty.
+	Closed effect.Reason
+	// Hold tells that the view has to be confirmed before new work is taken.
+	Hold bool
+	// Owner tells that this guard owns the key of the attempt.
+	Owner bool
+	// Settled tells that this guard has owned the key long enough to know whether it ran.
+	Settled bool
+}
+
+// Guard decides what its backend server runs.
+type Guard struct {
+	identity Identity
+	limits   rules.Service
+	ramp     *ramp.Ramp
+	limit    *limit.Limit
+	ledger   *ledger.Ledger[*event.Answer]
+	keys     keys
+	busy     map[uint64]work
+	waiting  *queue.Queue[uint64]
+	waiters  map[uint64]event.Attempt
+	held     []event.Attempt
+	cold     bool
+	leaving  bool
+	draining bool
+	down     bool
+}
+
+// work is an attempt that the backend server runs now.
+type work struct {
+	ticket     ticket.Ticket
+	idempotent bool
+	class      int
+}
+
+// New returns the guard of a backend server that is in cold start.
+func New(i Identity) *Guard {
+	return &Guard{
+		identity: i,
+		ramp:     ramp.New(1, 1, 1),
+		limit:    limit.New(1),
+		ledger:   ledger.New[*event.Answer](recordCapacity, recordKeep),
+		keys:     newKeys(),
+		busy:     make(map[uint64]work),
+		waiting:  queue.New[uint64](0),
+		waiters:  make(map[uint64]event.Attempt),
+		cold:     true,
+	}
+}
+
+// Apply takes over the limits that s sets for the service of this guard.
+func (g *Guard) Apply(at time.Time, s *rules.Set, out []effect.Effect) []effect.Effect {
+	limits, ok := s.Service(g.identity.Service)
+	if !ok {
+		return out
+	}
+	g.limits = limits
+	g.ramp.Resize(limits.Cold, limits.Slots, limits.Warm)
+	g.limit.Resize(limits.Slots)
+	g.waiting.Resize(limits.Slots)
+	if limits.Queue == 0 {
+		g.waiting.Resize(0)
+	}
+	return g.grant(at, out)
+}
+
+// Load returns the load report that rides on answers.
+func (g *Guard) Load() report.Load {
+	return report.Load{
+		InFlight: len(g.busy),
+		Queued:   g.waiting.Len(),
+		Limit:    g.bound(),
+		Cold:     g.ramp.IsCold(),
+		Leaving:  g.leaving || g.draining,
+	}
+}
+
+// bound returns the number of attempts that may run at once now.
+func (g *Guard) bound() int {
+	if g.limits.Slots == 0 || g.down {
+		return 0
+	}
+	return min(g.limit.Limit(), g.ramp.Bound())
+}
+
+// Idle reports whether no attempt runs or waits here.
+func (g *Guard) Idle() bool {
+	return len(g.busy) == 0 && g.waiting.Len() == 0 && len(g.held) == 0
+}
+
+// Leaving reports whether this guard takes no new work for good.
+func (g *Guard) Leaving() bool { return g.leaving }
+
+// Leave makes the guard refuse all new work from now on.
+func (g *Guard) Leave(out []effect.Effect) []effect.Effect {
+	if g.leaving {
+		return out
+	}
+	g.leaving = true
+	return g.refuseWaiting(effect.ReasonLeaving, out)
+}
+
+// Close refuses the attempts that wait, for a guard whose gate has closed.
+func (g *Guard) Close(r effect.Reason, out []effect.Effect) []effect.Effect {
+	return g.refuseWaiting(r, out)
+}
+
+// refuseWaiting refuses every attempt that has been let in to wait.
+func (g *Guard) refuseWaiting(r effect.Reason, out []effect.Effect) []effect.Effect {
+	for {
+		arrival, ok := g.waiting.Pop()
+		if !ok {
+			break
+		}
+		out = g.refuse(g.waiters[arrival], r, out)
+	}
+	for _, e := range g.held {
+		out = append(out, effect.Deny{Arrival: e.Arrival, Outcome: effect.NotRun, Reason: r})
+	}
+	g.held = g.held[:0]
+	return out
+}
+
+// TurnCold makes the guard treat its backend server as one in cold start.
+func (g *Guard) TurnCold(why string, out []effect.Effect) []effect.Effect {
+	g.ramp.Cold()
+	if g.cold {
+		return out
+	}
+	g.cold = true
+	return append(out, effect.Note{Kind: effect.KindCold, Text: why})
+}
+
+// Looked takes over what the backend server tells of itself. It can only make
+// the guard more careful: a server that calls itself warm does not end the ramp.
+func (g *Guard) Looked(e event.Looked, out []effect.Effect) []effect.Effect {
+	g.draining = e.Condition == event.Draining
+	switch e.Condition {
+	case event.Unreachable:
+		out = g.TurnCold("no answer to a look", out)
+	case event.Cold:
+		g.down = false
+		if !g.ramp.IsCold() {
+			out = g.TurnCold("told by the backend server", out)
+		}
+	case event.Draining:
+		g.down = false
+		out = g.refuseWaiting(effect.ReasonLeaving, out)
+	case event.Warm:
+		g.down = false
+	}
+	return g.grant(e.At, out)
+}
+
+// Asked answers an entry that asks what became of an attempt.
+func (g *Guard) Asked(e event.Asked, out []effect.Effect) []effect.Effect {
+	if e.Ticket.Guard != g.identity.Node {
+		return append(out, effect.Verdict{Query: e.Query, Verdict: event.Unknown})
+	}
+	answer, state, _ := g.ledger.Find(e.Ticket)
+	if e.Void {
+		state = g.ledger.Void(e.Ticket, e.At)
+	}
+	v := effect.Verdict{Query: e.Query, Verdict: verdictOf(state), Answer: answer}
+	if state == ledger.Voided {
+		t := e.Ticket
+		out = append(out, effect.Note{Kind: effect.KindVoid, Ticket: &t})
+	}
+	return append(out, v)
+}
+
+// verdictOf returns what an entry is told of an attempt in state s.
+func verdictOf(s ledger.State) event.Verdict {
+	switch s {
+	case ledger.Running:
+		return event.Running
+	case ledger.Ran:
+		return event.Ran
+	case ledger.Refused, ledger.Voided:
+		return event.NotRun
+	case ledger.Unseen, ledger.Lost:
+	}
+	return event.Unknown
+}
--- /dev/null
+++ b/core/node/views.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/gossip"
+	"bulrushlock/core/guard"
+)
+
+// stepGossip takes an event for the views.
+func (n *Node) stepGossip(e event.Event, out []effect.Effect) []effect.Effect {
+	var change gossip.Change
+	random := randomOf(e)
+	switch e := e.(type) {
+	case event.Read:
+		change, out = n.gossip.Read(e, random, out)
+	case event.Unchanged:
+		change, out = n.gossip.Unchanged(e, out)
+	case event.Unread:
+		change = n.gossip.Unread(e, random)
+	case event.Told:
+		change, out = n.gossip.Told(e, out)
+	case event.Silent:
+		change = n.gossip.Silent()
+	}
+	return n.apply(e.Time(), change, out)
+}
+
+// apply carries a change of the views to the entry and the guard.
+func (n *Node) apply(at time.Time, change gossip.Change, out []effect.Effect) []effect.Effect {
+	if change.Rules || change.Fleet {
+		out = n.renew(at, change, out)
+	}
+	if change.Trust {
+		out = append(out, effect.Note{Kind: kindOf(n.gossip.Trust()), Text: n.gossip.Trust().String()})
+	}
+	if change.Rules || change.Trust {
+		out = n.guard.Resume(at, func(e event.Attempt) guard.Gate { return n.gate(e) }, out)
+	}
+	return out
+}
+
+// kindOf returns the kind under which a degree of trust is noted.
+func kindOf(t gossip.Trust) effect.Kind {
+	if t == gossip.Fresh {
+		return effect.KindFresh
+	}
+	return effect.KindOld
+}
+
+// renew takes over renewed documents.
+func (n *Node) renew(at time.Time, change gossip.Change, out []effect.Effect) []effect.Effect {
+	s, ok := n.gossip.Rules()
+	if !ok {
+		return out
+	}
+	instances, _ := n.gossip.Fleet()
+	n.entry.Apply(s, instances)
+	if change.Rules {
+		n.looks.SetRate(float64(s.Budget.Look), 1)
+		n.probes.SetRate(float64(s.Budget.Probe), 1)
+		n.probed.SetRate(float64(s.Budget.Probe), 1)
+		out = n.guard.Apply(at, s, out)
+	}
+	if instances != nil {
+		n.history.Observe(at, n.members())
+	}
+	return n.noticeOut(out)
+}
+
+// noticeOut refuses waiting work when this node is taken out, and notes the change.
+func (n *Node) noticeOut(out []effect.Effect) []effect.Effect {
+	reason := n.closed()
+	isOut := reason == effect.ReasonOut || reason == effect.ReasonLeaving
+	if isOut == n.out {
+		return out
+	}
+	n.out = isOut
+	if !isOut {
+		return append(out, effect.Note{Kind: effect.KindBack})
+	}
+	out = append(out, effect.Note{Kind: effect.KindOut, Text: string(reason)})
+	return n.guard.Close(reason, out)
+}
+
+// tick does what is due.
+func (n *Node) tick(e event.Tick, paused bool, out []effect.Effect) []effect.Effect {
+	n.last = e.At
+	change, out := n.gossip.Tick(e, paused, out)
+	out = n.apply(e.At, change, out)
+	if n.looks.Take(e.At, 1) {
+		out = append(out, effect.Look{})
+	}
+	out = n.probe(e, out)
+	return n.finish(e.At, out)
+}
+
+// probe asks for the load of a peer whose last answer was a failure.
+func (n *Node) probe(e event.Tick, out []effect.Effect) []effect.Effect {
+	p, ok := n.entry.Doubtful(e.At, e.Random)
+	if !ok || !n.probes.Take(e.At, 1) {
+		return out
+	}
+	return append(out, effect.Probe{Peer: p})
+}
+
+// leave begins to end the life of the node.
+func (n *Node) leave(e event.Leave, out []effect.Effect) []effect.Effect {
+	if n.guard.Leaving() {
+		return out
+	}
+	n.left = e.At
+	out = append(out, effect.Note{Kind: effect.KindLeave})
+	return n.guard.Leave(out)
+}
+
+// finish tells once that a leaving node has no work left.
+func (n *Node) finish(at time.Time, out []effect.Effect) []effect.Effect {
+	if !n.guard.Leaving() || n.finished || at.Sub(n.left) < n.identity.Drain {
+		return out
+	}
+	if !n.guard.Idle() || n.entry.Busy() > 0 {
+		return out
+	}
+	n.finished = true
+	out = append(out, effect.Note{Kind: effect.KindEnd})
+	return append(out, effect.Finished{})
+}
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,123 @@
+// Package gate carries out what the guard of a node decides: it lets an attempt
+// through to the backend server beside the node, or answers it with a refusal.
+//
+// # Usage
+//
+//	g := gate.New(l, gate.Options{Node: self, Server: server})
+//	a, err := g.Exchange(ctx, offer) // from the entry of the same node
+//	http.Serve(listener, g)          // from the entries of other nodes
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/xchg"
+)
+
+// keptBody is the size in bytes up to which the answer to a non-idempotent
+// request is kept for a caller that asks again.
+const keptBody = 64 << 10
+
+// Options are what a Gate works with besides its loop.
+type Options struct {
+	Node ticket.Node
+	// Server is the address of the backend server beside the node.
+	Server netip.AddrPort
+	// Transport carries requests to the backend server.
+	Transport http.RoundTripper
+}
+
+// Gate stands between all entries and one backend server.
+type Gate struct {
+	loop    *loop.Loop
+	options Options
+	origin  string
+}
+
+var (
+	_ xchg.Exchanger = (*Gate)(nil)
+	_ http.Handler   = (*Gate)(nil)
+)
+
+// New returns the gate of a backend server.
+func New(l *loop.Loop, o Options) *Gate {
+	return &Gate{loop: l, options: o, origin: "http://" + o.Server.String()}
+}
+
+// Exchange offers an attempt to the guard of this node and returns its answer.
+// The error is always nil: the guard of the same node can always be reached.
+func (g *Gate) Exchange(ctx context.Context, o xchg.Offer) (xchg.Answer, error) {
+	arrival, box := g.loop.Open()
+	p := &passage{gate: g, arrival: arrival, box: box, offer: o}
+	g.loop.Do(event.Attempt{
+		At:         time.Now(),
+		Ticket:     o.Ticket,
+		Arrival:    arrival,
+		Idempotent: o.Idempotent,
+		Rank:       o.Rank,
+		Class:      o.Class,
+		Left:       o.Head,
+		Key:        o.Key,
+		First:      o.First,
+		Rules:      o.Versions.Rules,
+	})
+	a := p.decide(ctx)
+	if a.Body == nil {
+		a.Body = http.NoBody
+		g.loop.Close(arrival)
+	}
+	a.Guard = g.options.Node
+	load, versions := g.loop.Load()
+	a.Load, a.Versions = &load, versions
+	return a, nil
+}
+
+// passage is one attempt on its way through the gate.
+type passage struct {
+	gate    *Gate
+	arrival uint64
+	box     <-chan effect.Effect
+	offer   xchg.Offer
+}
+
+// decide follows the decisions of the guard until there is an answer.
+func (p *passage) decide(ctx context.Context) xchg.Answer {
+	var overdue <-chan time.Time
+	gone := ctx.Done()
+	for {
+		select {
+		case e := <-p.box:
+			if w, ok := e.(effect.Wait); ok {
+				overdue = time.After(w.Longest)
+				continue
+			}
+			return p.settle(ctx, e)
+		case <-overdue:
+			overdue = nil
+			p.gate.loop.Do(event.Overdue{At: time.Now(), Arrival: p.arrival})
+		case <-gone:
+			gone = nil
+			p.gate.loop.Do(event.Withdrawn{At: time.Now(), Arrival: p.arrival})
+		}
+	}
+}
+
+// settle turns the decision e into an answer.
+func (p *passage) settle(ctx context.Context, e effect.Effect) xchg.Answer {
+	switch e := e.(type) {
+	case effect.Admit:
+		return p.serve(ctx, e)
+	case effect.Replay:
+		return replayed(e.Answer)
+	case effect.Deny:
+		return xchg.Answer{Outcome: e.Outcome, Reason: e.Reason}
+	}
+	return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonBroken}
+}
--- /dev/null
+++ b/io/gate/listen.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"bulrushlock/core/depth"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/report"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/xchg"
+)
+
+// ServeHTTP takes an attempt from the entry of another node.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o, err := offerOf(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.loop.Merge(r.Header.Get(xchg.HeaderClock))
+	a, err := g.Exchange(r.Context(), o)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer closeBody(a.Body)
+	g.write(w, o, a)
+}
+
+// offerOf reads the attempt that r carries. It fails with the typed error of the header that is bad.
+func offerOf(r *http.Request) (xchg.Offer, error) {
+	o := xchg.Offer{
+		Method: r.Method,
+		Target: r.RequestURI,
+		Host:   r.Host,
+		Header: r.Header,
+		Body:   r.Body,
+		Length: r.ContentLength,
+		Key:    r.Header.Get(xchg.HeaderPrefix + "Key"),
+	}
+	var err error
+	if o.Ticket, err = ticket.Parse(r.Header.Get(xchg.HeaderTicket)); err != nil {
+		return o, err
+	}
+	if o.Call, err = depth.Parse(r.Header.Get(xchg.HeaderCall)); err != nil {
+		return o, err
+	}
+	if o.Versions, err = xchg.ParseVersions(r.Header.Get(xchg.HeaderVersions)); err != nil {
+		return o, err
+	}
+	return o, xchg.ParseAttempt(r.Header.Get(xchg.HeaderAttempt), &o)
+}
+
+// write sends the answer a to the entry that made the attempt o.
+func (g *Gate) write(w http.ResponseWriter, o xchg.Offer, a xchg.Answer) {
+	h := w.Header()
+	xchg.CopyHeader(h, a.Header)
+	h.Set(xchg.HeaderTicket, o.Ticket.String())
+	h.Set(xchg.HeaderOutcome, a.Outcome.String())
+	h.Set(xchg.HeaderGuard, xchg.NodeText(a.Guard))
+	h.Set(xchg.HeaderVersions, xchg.VersionsText(a.Versions))
+	h.Set(xchg.HeaderClock, g.loop.Stamp())
+	setLoad(h, a.Load)
+	if a.Outcome != effect.Run {
+		h.Set(xchg.HeaderReason, string(a.Reason))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if err := xchg.CopyBody(w, a.Body, a.Length); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// setLoad puts a load report into h.
+func setLoad(h http.Header, l *report.Load) {
+	if l != nil {
+		h.Set(xchg.HeaderLoad, l.String())
+	}
+}
+
+// NewServer returns the HTTP server that takes attempts from other nodes.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+}
--- /dev/null
+++ b/io/gate/serve.go
@@ -0,0 +1,213 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/io/xchg"
+)
+
+// serve sends an admitted attempt to the backend server.
+func (p *passage) serve(ctx context.Context, e effect.Admit) xchg.Answer {
+	if !p.offer.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	overdue := time.AfterFunc(p.offer.Head, func() { cancel(context.DeadlineExceeded) })
+	began := time.Now()
+	r, err := p.gate.options.Transport.RoundTrip(p.request(ctx))
+	overdue.Stop()
+	spent := time.Since(began)
+	if err != nil {
+		cancel(nil)
+		return p.failed(ctx, err, spent)
+	}
+	if e.Shed && r.StatusCode == http.StatusServiceUnavailable {
+		closeBody(r.Body)
+		cancel(nil)
+		return p.refused(event.Shed, spent)
+	}
+	if !isFramed(r) {
+		closeBody(r.Body)
+		cancel(nil)
+		return p.refused(event.Reset, spent)
+	}
+	s := &stream{passage: p, body: r.Body, cancel: cancel, status: r.StatusCode, spent: spent}
+	return p.answer(r, s)
+}
+
+// request returns the request that goes to the backend server.
+func (p *passage) request(ctx context.Context) *http.Request {
+	o := p.offer
+	r, err := http.NewRequestWithContext(ctx, o.Method, p.gate.origin+o.Target, http.NoBody)
+	if err != nil {
+		r = &http.Request{Method: o.Method}
+		return r.WithContext(ctx)
+	}
+	r.Host = o.Host
+	r.Header = make(http.Header, len(o.Header)+1)
+	xchg.CopyHeader(r.Header, o.Header)
+	r.Header.Set(xchg.HeaderCall, o.Call.NoRetry().String())
+	xchg.SetBody(r, o)
+	return r
+}
+
+// isFramed reports whether the end of the answer r can be told from a broken connection.
+func isFramed(r *http.Response) bool {
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		return true
+	}
+	return r.Request != nil && r.Request.Method == http.MethodHead
+}
+
+// failed answers an attempt whose exchange with the backend server gave no head.
+func (p *passage) failed(ctx context.Context, err error, spent time.Duration) xchg.Answer {
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return p.refused(event.Refused, spent)
+	case ctx.Err() != nil && p.offer.Idempotent:
+		p.end(event.Served{Failure: event.Cancelled, Spent: spent})
+		return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonDeadline}
+	}
+	return p.refused(event.Reset, spent)
+}
+
+// refused tells the guard how the exchange failed and returns the answer that it decides on.
+func (p *passage) refused(f event.Failure, spent time.Duration) xchg.Answer {
+	p.end(event.Served{Failure: f, Spent: spent})
+	select {
+	case e := <-p.box:
+		if d, ok := e.(effect.Deny); ok {
+			return xchg.Answer{Outcome: d.Outcome, Reason: d.Reason}
+		}
+	default:
+	}
+	return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonBroken}
+}
+
+// end tells the guard that the exchange with the backend server has ended.
+func (p *passage) end(e event.Served) {
+	e.At = time.Now()
+	e.Arrival = p.arrival
+	p.gate.loop.Do(e)
+}
+
+// answer returns the answer r of the backend server, whose body is read through s.
+// The answer to a non-idempotent request is kept where it is small.
+func (p *passage) answer(r *http.Response, s *stream) xchg.Answer {
+	a := xchg.Answer{
+		Outcome: effect.Run,
+		Status:  r.StatusCode,
+		Header:  make(http.Header, len(r.Header)),
+		Length:  r.ContentLength,
+		Body:    s,
+	}
+	xchg.CopyHeader(a.Header, r.Header)
+	if p.offer.Idempotent || r.ContentLength > keptBody {
+		return a
+	}
+	start, err := io.ReadAll(io.LimitReader(r.Body, keptBody+1))
+	if err != nil {
+		s.finish(event.Reset, nil)
+		a.Body = &broken{start: bytes.NewReader(start), cause: err}
+		return a
+	}
+	if len(start) > keptBody {
+		s.start = bytes.NewReader(start)
+		return a
+	}
+	s.finish(event.None, &event.Answer{Status: a.Status, Header: a.Header, Body: start})
+	a.Body = io.NopCloser(bytes.NewReader(start))
+	return a
+}
+
+// replayed returns an answer that was kept.
+func replayed(k *event.Answer) xchg.Answer {
+	h := make(http.Header, len(k.Header))
+	xchg.CopyHeader(h, k.Header)
+	h.Set("Content-Length", strconv.Itoa(len(k.Body)))
+	return xchg.Answer{
+		Outcome: effect.Run,
+		Status:  k.Status,
+		Header:  h,
+		Length:  int64(len(k.Body)),
+		Body:    io.NopCloser(bytes.NewReader(k.Body)),
+	}
+}
+
+// stream is the body of an answer that the backend server is still sending.
+type stream struct {
+	passage *passage
+	start   io.Reader
+	body    io.ReadCloser
+	cancel  context.CancelCauseFunc
+	status  int
+	spent   time.Duration
+	once    sync.Once
+}
+
+// Read reads the body and tells the guard when it has ended.
+func (s *stream) Read(b []byte) (int, error) {
+	if s.start != nil {
+		n, err := s.start.Read(b)
+		if n > 0 || !errors.Is(err, io.EOF) {
+			return n, err
+		}
+		s.start = nil
+	}
+	n, err := s.body.Read(b)
+	switch {
+	case errors.Is(err, io.EOF):
+		s.finish(event.None, nil)
+	case err != nil:
+		s.finish(event.Reset, nil)
+	}
+	return n, err
+}
+
+// Close gives up the rest of the body.
+func (s *stream) Close() error {
+	s.finish(event.Cancelled, nil)
+	return nil
+}
+
+// finish tells the guard once how the answer has ended, and frees the connection.
+func (s *stream) finish(f event.Failure, a *event.Answer) {
+	s.once.Do(func() {
+		closeBody(s.body)
+		s.cancel(nil)
+		s.passage.end(event.Served{Failure: f, Status: s.status, Spent: s.spent, Answer: a})
+		s.passage.gate.loop.Close(s.passage.arrival)
+	})
+}
+
+// broken is the body of an answer that broke off after start.
+type broken struct {
+	start io.Reader
+	cause error
+}
+
+// Read reads what came before the break, and then fails.
+func (b *broken) Read(p []byte) (int, error) {
+	n, err := b.start.Read(p)
+	if errors.Is(err, io.EOF) {
+		return n, b.cause
+	}
+	return n, err
+}
+
+// Close does nothing.
+func (b *broken) Close() error { return nil }
+
+// closeBody closes a body whose content is no longer wanted.
+func closeBody(b io.Closer) { _ = b.Close() }
--- /dev/null
+++ b/io/xchg/body.go
@@ -0,0 +1,72 @@
+package xchg
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// onceBody hides from net/http that a body could be read again, so that its
+// transport never sends a request a second time of its own accord.
+type onceBody struct {
+	io.Reader
+}
+
+// Close does nothing: whoever made the body closes it.
+func (onceBody) Close() error { return nil }
+
+// SetBody gives r the body of o. Unless o is idempotent, r has a body even when
+// it is empty: the transport takes a request without a body for one that it may
+// repeat on another connection.
+func SetBody(r *http.Request, o Offer) {
+	r.GetBody = nil
+	r.ContentLength = o.Length
+	switch {
+	case o.Length == 0 && o.Idempotent:
+		r.Body = http.NoBody
+	case o.Body == nil:
+		r.Body = onceBody{Reader: http.NoBody}
+	default:
+		r.Body = onceBody{Reader: o.Body}
+	}
+}
+
+const (
+	// copySize is the size in bytes of the buffer through which a body is copied.
+	copySize = 32 << 10
+	// flushSize is the length in bytes up to which an answer is not flushed while it is copied.
+	flushSize = 32 << 10
+)
+
+// buffers holds the buffers through which bodies are copied.
+var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// CopyBody copies the body of an answer to w. Length is the length of the body
+// in bytes, or -1. Each part of a long body is sent at once. It fails with a
+// *BrokenError when the body or w breaks off.
+func CopyBody(w http.ResponseWriter, body io.Reader, length int64) error {
+	b := buffers.Get().(*[]byte)
+	defer buffers.Put(b)
+	flush := length < 0 || length > flushSize
+	c := http.NewResponseController(w)
+	for {
+		n, err := body.Read(*b)
+		if n > 0 {
+			if _, failed := w.Write((*b)[:n]); failed != nil {
+				return &BrokenError{Cause: failed}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &BrokenError{Cause: err}
+		}
+		if flush {
+			if failed := c.Flush(); failed != nil {
+				return &BrokenError{Cause: failed}
+			}
+		}
+	}
+}
