--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -180,9 +180,8 @@
 		g.applyFleet()
 	}
 	out = append(out, effect.Note{Kind: kind, Text: fmt.Sprintf("revision %d", e.Revision)})
-	if e.From.Peer == "" && change.Rules {
-		change.Trust = g.trust.confirm()
-	}
+	confirmation, out := g.confirmed(e.At, e.Document, e.From, out)
+	change.Trust = confirmation.Trust
 	return change, g.tell(e.At, random, pushes, out)
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -62,12 +62,14 @@
 // New returns the reducer of one life of a node.
 func New(i Identity, p pick.Policy) *Node {
 	self := ticket.Node{Instance: i.Instance, Incarnation: i.Incarnation}
+	history := owner.New(guard.KeyWindow + listLag)
+	history.Service = i.Service
 	return &Node{
 		identity: i,
 		entry:    entry.New(entry.Identity{Node: self, Centre: i.Centre}, p),
 		guard:    guard.New(guard.Identity{Node: self, Centre: i.Centre, Service: i.Service}),
 		gossip:   gossip.New(i.Instance, i.Centre),
-		history:  owner.New(guard.KeyWindow + listLag),
+		history:  history,
 		looks:    bucket.New(1, 1),
 		probes:   bucket.New(0, 0),
 		probed:   bucket.New(0, 0),
