--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,88 @@
+// Package front serves callers: it takes a request, carries out what the entry
+// of the node decides for it, and answers with the outcome.
+//
+// # Usage
+//
+//	f := front.New(l, front.Options{Self: "ledger-1", Local: gate, Remote: link, Asker: wire})
+//	http.Serve(listener, f)
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/xchg"
+)
+
+// Asker asks a guard what became of an attempt.
+type Asker interface {
+	// Ask returns event.Broken when the guard cannot be reached.
+	Ask(ctx context.Context, peer fleet.Instance, t ticket.Ticket, void bool) (event.Verdict, *event.Answer)
+}
+
+// Options are what a Front works with besides its loop.
+type Options struct {
+	// Self is the instance of this node.
+	Self string
+	// Local exchanges attempts with the guard of this node.
+	Local xchg.Exchanger
+	// Remote exchanges attempts with the guards of other nodes.
+	Remote xchg.Exchanger
+	Asker  Asker
+	Scope  tally.Scope
+}
+
+// Front is the HTTP handler for callers.
+type Front struct {
+	loop     *loop.Loop
+	options  Options
+	outcomes map[effect.Outcome]tally.Counter
+	spent    tally.Histogram
+}
+
+var _ http.Handler = (*Front)(nil)
+
+// New returns the handler for the callers of a node.
+func New(l *loop.Loop, o Options) *Front {
+	f := &Front{loop: l, options: o, outcomes: make(map[effect.Outcome]tally.Counter)}
+	for _, outcome := range []effect.Outcome{effect.Run, effect.NotRun, effect.Unknown, effect.Running} {
+		f.outcomes[outcome] = o.Scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("requests")
+	}
+	f.spent = o.Scope.Histogram("request_time", tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 18))
+	return f
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		writeProblem(w, problem{Status: http.StatusNotImplemented, Outcome: effect.NotRun.String(), Reason: "upgrade"})
+		return
+	}
+	e, err := requestOf(r)
+	if err != nil {
+		p := problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
+		writeProblem(w, p)
+		return
+	}
+	v := newVisit(f, w, r)
+	defer v.close()
+	if err := v.readBody(&e); err != nil {
+		p := problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "body", Detail: err.Error()}
+		writeProblem(w, p)
+		return
+	}
+	e.ID = v.id
+	f.loop.Do(e)
+	v.run()
+	f.outcomes[v.outcome].Inc(1)
+	f.spent.RecordDuration(time.Since(began))
+}
