feat(io/conf): read the settings of a node strictly

Cause: a node needs its settings, and an operator needs every fault of the file at once, with file, line and key.

Ruled out: decoding into the struct with the library's strict mode, which stops at the first unknown key or wrong type. The syntax tree of the same library gives every place, so each key is read from there. A text that is not YAML still has one fault only.

--- /dev/null
+++ b/io/conf/conf.go
@@ -0,0 +1,136 @@
+// Package conf reads the settings of a node from YAML.
+//
+// The text is read strictly: an unknown key, a value of the wrong type, and a
+// missing or impossible value are faults. All faults of a text are reported
+// together, each with its place and its key.
+//
+// # Usage
+//
+//	s, err := conf.Load("node.yaml")
+//	var f *conf.FaultsError
+//	if errors.As(err, &f) {
+//		return f // lists every fault with its file, line and key
+//	}
+package conf
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+)
+
+// Values of the key "isolated".
+const (
+	// Serve makes an isolated node go on with the view that it has.
+	Serve = "serve"
+	// Refuse makes an isolated node refuse new work.
+	Refuse = "refuse"
+)
+
+// Bounds and default of the key "drain".
+const (
+	defaultDrain = 3 * time.Second
+	longestDrain = time.Hour
+)
+
+// Settings tell a node who it is, where it listens and whom it asks.
+type Settings struct {
+	// Instance is the name of the instance that the node runs on.
+	Instance string
+	// Centre is the name of the data centre of the instance.
+	Centre string
+	// Service is the service of the backend server beside the node.
+	Service string
+	// Callers is the listener for requests of callers.
+	Callers netip.AddrPort
+	// Nodes is the listener for requests that other nodes forward.
+	Nodes netip.AddrPort
+	// Control is the listener for net/rpc calls between nodes.
+	Control netip.AddrPort
+	// Operators is the listener for status, metrics and the time line.
+	Operators netip.AddrPort
+	// Server is the address of the backend server beside the node.
+	Server netip.AddrPort
+	// Platform is the address of the configuration service and the instance list.
+	Platform netip.AddrPort
+	// Peers are the control listeners of a few other nodes, which are asked at start.
+	Peers []netip.AddrPort
+	// Isolated is what the node does with new work while it reaches neither the
+	// platform nor a peer: Serve or Refuse.
+	Isolated string
+	// Drain is the time that a leaving node keeps its listeners open for late senders.
+	Drain time.Duration
+}
+
+// Fault is one thing that is wrong with a text of settings.
+type Fault struct {
+	// Line is the line of the fault and starts at 1.
+	Line int
+	// Column is the column of the fault and starts at 1.
+	Column int
+	// Key is the key that is at fault; it is empty when the text is not YAML.
+	Key string
+	// Problem says what is wrong and what would be right.
+	Problem string
+}
+
+// FaultsError lists all faults of a text of settings in the order of their lines.
+type FaultsError struct {
+	File   string
+	Faults []Fault
+}
+
+// Error returns one line for each fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = fmt.Sprintf("%s:%d:%d: %s", e.File, f.Line, f.Column, f.text())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// text returns the problem, led by the key where there is one.
+func (f Fault) text() string {
+	if f.Key == "" {
+		return f.Problem
+	}
+	return fmt.Sprintf("key %q: %s", f.Key, f.Problem)
+}
+
+// ReadError is a file of settings that cannot be read.
+type ReadError struct {
+	File  string
+	Cause error
+}
+
+// Error names the file and the cause.
+func (e *ReadError) Error() string {
+	return fmt.Sprintf("read settings %s: %v", e.File, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Cause }
+
+// Load reads the settings in the file at path. It fails with a *ReadError or a
+// *FaultsError.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &ReadError{File: path, Cause: err}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the settings in text, which came from the file name. It fails
+// with a *FaultsError.
+func Parse(name string, text []byte) (*Settings, error) {
+	r := newReader()
+	r.readText(text)
+	r.checkListeners()
+	if len(r.faults) > 0 {
+		return nil, &FaultsError{File: name, Faults: r.sorted()}
+	}
+	return &r.settings, nil
+}
--- /dev/null
+++ b/io/conf/conf_test.go
@@ -0,0 +1,140 @@
+package conf
+
+import (
+	"errors"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// good holds every required key, one a line, in this order.
+const good = `instance: ledger-1
+centre: patan
+service: ledger
+callers: 127.0.0.1:8000
+nodes: 127.0.0.1:8001
+control: 127.0.0.1:8002
+operators: 127.0.0.1:8003
+server: 127.0.0.1:9000
+platform: 127.0.0.1:9100
+`
+
+// replace returns the good text with one line replaced.
+func replace(key, line string) string {
+	lines := strings.Split(good, "\n")
+	for i, l := range lines {
+		if strings.HasPrefix(l, key+":") {
+			lines[i] = line
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func TestLoad(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	text := good + "peers:\n  - 10.0.0.2:8002\n  - \"[fd00::2]:8002\"\nisolated: refuse\ndrain: 1500ms\n"
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	s, err := Load(path)
+	c.Assert(err, qt.IsNil)
+	want := &Settings{
+		Instance: "ledger-1", Centre: "patan", Service: "ledger",
+		Callers:   netip.MustParseAddrPort("127.0.0.1:8000"),
+		Nodes:     netip.MustParseAddrPort("127.0.0.1:8001"),
+		Control:   netip.MustParseAddrPort("127.0.0.1:8002"),
+		Operators: netip.MustParseAddrPort("127.0.0.1:8003"),
+		Server:    netip.MustParseAddrPort("127.0.0.1:9000"),
+		Platform:  netip.MustParseAddrPort("127.0.0.1:9100"),
+		Peers: []netip.AddrPort{
+			netip.MustParseAddrPort("10.0.0.2:8002"), netip.MustParseAddrPort("[fd00::2]:8002"),
+		},
+		Isolated: Refuse,
+		Drain:    1500 * time.Millisecond,
+	}
+	c.Assert(reflect.DeepEqual(s, want), qt.IsTrue, qt.Commentf("got %+v", s))
+	_, err = Load(filepath.Join(t.TempDir(), "none.yaml"))
+	var r *ReadError
+	c.Assert(errors.As(err, &r), qt.IsTrue)
+	c.Assert(errors.Is(err, fs.ErrNotExist), qt.IsTrue)
+}
+
+func TestParseDefaults(t *testing.T) {
+	c := qt.New(t)
+	s, err := Parse("node.yaml", []byte(replace("callers", "callers: 0.0.0.0:0")))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Isolated, qt.Equals, Serve)
+	c.Assert(s.Drain, qt.Equals, 3*time.Second)
+	c.Assert(s.Peers, qt.HasLen, 0)
+}
+
+func TestParseFaults(t *testing.T) {
+	tests := []struct {
+		name, text, want string
+	}{
+		{"unknown key", good + "port: 7\n", `n:10:1: key "port": unknown key, .*`},
+		{"missing key", replace("centre", ""), `n:1:1: key "centre": is missing`},
+		{"no value", replace("centre", "centre:"), `n:2:1: key "centre": has no value`},
+		{"number for name", replace("instance", "instance: 7"), `n:1:11: key "instance": must be a name .* type int .*`},
+		{"bad name", replace("instance", "instance: Ledger_1"), `n:1:11: key "instance": must be a name .*`},
+		{"long name", replace("instance", "instance: "+strings.Repeat("a", 33)), `n:1:11: key "instance": .*`},
+		{"address without port", replace("nodes", "nodes: 127.0.0.1"), `n:5:8: key "nodes": must be an IP number .*`},
+		{"host name", replace("server", "server: localhost:80"), `n:8:9: key "server": must be an IP number .*`},
+		{"port too large", replace("server", "server: 127.0.0.1:65536"), `n:8:9: key "server": must be an IP .*`},
+		{"port 0", replace("platform", "platform: 127.0.0.1:0"), `n:9:11: key "platform": port 0 .*`},
+		{"unspecified target", replace("server", "server: 0.0.0.0:80"), `n:8:9: key "server": 0.0.0.0 is not .*`},
+		{"unquoted IPv6", replace("server", "server: [::1]:80"), `n:8:.*`},
+		{"same listeners", replace("nodes", "nodes: 127.0.0.1:8000"), `n:5:8: key "nodes": .* of callers already`},
+		{"overlapping listeners", replace("nodes", "nodes: 0.0.0.0:8000"), `n:5:8: key "nodes": .* of callers already`},
+		{"server is a listener", replace("server", "server: 127.0.0.1:8001"), `n:8:9: key "server": .* of nodes already`},
+		{"peers not a sequence", good + "peers: 10.0.0.2:1\n", `n:10:8: key "peers": must be a sequence .*`},
+		{"bad peer", good + "peers:\n- 10.0.0.2\n", `n:11:3: key "peers": must be an IP number .*`},
+		{"peer twice", good + "peers: ['10.0.0.2:1', '10.0.0.2:1']\n", `n:10:23: key "peers": .* stands twice`},
+		{"bad isolated", good + "isolated: maybe\n", `n:10:11: key "isolated": must be "serve" or "refuse".*`},
+		{"drain without unit", good + "drain: 3\n", `n:10:8: key "drain": must be a time .*`},
+		{"negative drain", good + "drain: -3s\n", `n:10:8: key "drain": must be from 0s .*`},
+		{"key twice", good + "centre: thimi\n", `n:10:1: mapping key "centre" already defined.*`},
+		{"not a mapping", "- a\n", `(?s)n:1:\d: settings must be a mapping .*`},
+		{"alias", "instance: &a ledger-1\n" + replace("instance", "")[1:], `n:1:11: key "instance": .* type anchor`},
+		{"two documents", good + "---\n" + good, `n:11:\d+: a second YAML document .*`},
+		{"not YAML", good + "\t{", `n:10:.*`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := Parse("n", []byte(tt.text))
+			var f *FaultsError
+			c.Assert(errors.As(err, &f), qt.IsTrue)
+			c.Assert(err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+func TestParseAllFaultsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse("n", []byte("centre: 7\nport: 1\n"))
+	var f *FaultsError
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Assert(f.File, qt.Equals, "n")
+	c.Assert(f.Faults, qt.HasLen, 10)
+	_, err = Parse("n", nil)
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Assert(f.Faults, qt.HasLen, 9)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("peers: [a, {b: *c}]\n<<: &d [e\n---\n- ? g\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("n", text)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", s, err)
+		}
+	})
+}
