feat(io/stand): add stand-ins for the backend server and the platform

Cause: tests and the demo need a backend server and a platform whose faults they can set, embedded and as processes of their own.

Change: stand.Server (slots, queue, shed, cold start with overload, drain, crash, lost answer, half an answer, late answer, lagging and lying health, counts by identity, exports whose bytes depend on the identity), stand.Platform (revisions, long poll, down, stale, slow, count of calls), and the commands `stand server` and `stand platform`.

Checked: tests with the race detector, the linter, and `stand server` as a process that answered a request and ended with status 0 on SIGTERM.

--- /dev/null
+++ b/cmd/stand.go
@@ -0,0 +1,100 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// standGrace is the time that requests in flight get after the signal to end.
+const standGrace = 2 * time.Second
+
+// registerStand adds the commands that run stand-ins as processes of their own.
+func registerStand(a *kingpin.Application, s streams) {
+	c := a.Command("stand", "Run a stand-in for what is outside of the system, for trials and tests.")
+	registerStandServer(c, s)
+	registerStandPlatform(c, s)
+}
+
+// addressValue is a flag that holds an IP number and a port.
+type addressValue struct {
+	address *netip.AddrPort
+}
+
+var _ kingpin.Value = addressValue{}
+
+// Set reads the address.
+func (v addressValue) Set(text string) error {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fmt.Errorf("read address: %w", err)
+	}
+	*v.address = a
+	return nil
+}
+
+// String returns the address.
+func (v addressValue) String() string {
+	if v.address == nil || !v.address.IsValid() {
+		return ""
+	}
+	return v.address.String()
+}
+
+// listenFlag adds the flag that names the listener of a stand-in.
+func listenFlag(c *kingpin.CmdClause, address *netip.AddrPort) {
+	*address = netip.MustParseAddrPort("127.0.0.1:0")
+	f := c.Flag("listen", "IP number and port to listen on; port 0 lets the system choose.")
+	f.Default(address.String()).SetValue(addressValue{address: address})
+}
+
+// untilSignal runs a stand-in until the process is told to end.
+func untilSignal(address netip.AddrPort, h http.Handler, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return runStand(ctx, address, h, out)
+}
+
+// runStand listens at address, says so on out, and answers until ctx ends.
+func runStand(ctx context.Context, address netip.AddrPort, h http.Handler, out io.Writer) error {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return &failedError{cause: fmt.Errorf("listen: %w", err)}
+	}
+	if _, err := fmt.Fprintf(out, "listening %s\n", l.Addr()); err != nil {
+		_ = l.Close()
+		return &failedError{cause: fmt.Errorf("print address: %w", err)}
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	select {
+	case err := <-ended:
+		return &failedError{cause: fmt.Errorf("serve: %w", err)}
+	case <-ctx.Done():
+	}
+	return closeStand(s)
+}
+
+// closeStand ends a stand-in, at once for requests that outlast the grace.
+func closeStand(s *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), standGrace)
+	defer cancel()
+	err := s.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = s.Close()
+	}
+	if err != nil {
+		return &failedError{cause: fmt.Errorf("end: %w", err)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standplatform.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bulrushlock/core/fleet"
+	"bulrushlock/io/stand"
+)
+
+// platformFiles name the documents that a platform stand-in publishes at start.
+type platformFiles struct {
+	rules     string
+	instances string
+}
+
+// registerStandPlatform adds the command that runs a platform stand-in.
+func registerStandPlatform(parent *kingpin.CmdClause, s streams) {
+	var address netip.AddrPort
+	var files platformFiles
+	c := parent.Command("platform", "Run a stand-in for the configuration service and the instance list.")
+	listenFlag(c, &address)
+	c.Flag("rules", "File with the rules that are published at start.").StringVar(&files.rules)
+	c.Flag("instances", "File with the instance list that is published at start.").StringVar(&files.instances)
+	c.Action(func(*kingpin.ParseContext) error {
+		p, err := newPlatform(files)
+		if err != nil {
+			return err
+		}
+		return untilSignal(address, p, s.out)
+	})
+}
+
+// newPlatform returns a platform that has published the documents in files.
+func newPlatform(files platformFiles) (*stand.Platform, error) {
+	p := stand.NewPlatform()
+	if files.rules != "" {
+		text, err := os.ReadFile(files.rules)
+		if err != nil {
+			return nil, fmt.Errorf("read rules: %w", err)
+		}
+		p.Publish(string(text))
+	}
+	if files.instances == "" {
+		return p, nil
+	}
+	text, err := os.ReadFile(files.instances)
+	if err != nil {
+		return nil, fmt.Errorf("read instance list: %w", err)
+	}
+	instances, err := fleet.Parse(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", files.instances, err)
+	}
+	p.List(instances)
+	return p, nil
+}
