feat(cmd): add the command check

Cause: an operator wants every fault of a file, and what new rules would change, before a node reads them.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -31,6 +31,7 @@
 
 // commands lists the functions that register the commands, in help order.
 var commands = []func(*kingpin.Application, streams){
+	registerCheck,
 	registerVersion,
 }
 
