--- a/cmd/check.go
+++ b/cmd/check.go
@@ -95,7 +95,12 @@
 }
 
 // Error tells the number of faults.
-func (e *badFilesError) Error() string { return fmt.Sprintf("check: %d faults", e.faults) }
+func (e *badFilesError) Error() string {
+	if e.faults == 1 {
+		return "check: 1 fault"
+	}
+	return fmt.Sprintf("check: %d faults", e.faults)
+}
 
 // registerCheck adds the command that checks settings and rules.
 func registerCheck(a *kingpin.Application, s streams) {
