test(core/proof): fuzz several reducers against a simple oracle

Cause: the reducer had no test of several nodes under faults. Change: five nodes, a platform, backend servers and callers are joined by a bag of messages; an oracle checks each step.

--- /dev/null
+++ b/core/proof/platform_test.go
@@ -0,0 +1,118 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+)
+
+// The limits that the rules of these tests set.
+const (
+	slots     = 3
+	cold      = 1
+	warm      = 6
+	lookRate  = 2
+	probeRate = 5
+)
+
+// platformName stands for the platform at the end of a link.
+const platformName = "platform"
+
+// platform publishes one document.
+type platform struct {
+	texts  map[uint64]text
+	newest uint64
+	// shown is the revision that readers get; it is older while the platform is stale.
+	shown uint64
+	down  bool
+}
+
+// text is a published text and what it says, as its author meant it.
+type text struct {
+	text    string
+	valid   bool
+	out     map[string]bool
+	leaving map[string]bool
+	members []string
+	at      time.Time
+}
+
+// publish makes x the newest text. A stale platform does not show it yet.
+func (p *platform) publish(x text) {
+	if p.shown == p.newest {
+		p.shown++
+	}
+	p.newest++
+	p.texts[p.newest] = x
+}
+
+// read returns what a reader gets.
+func (p *platform) read() (content string, revision uint64, ok bool) {
+	return p.texts[p.shown].text, p.shown, !p.down && p.shown > 0
+}
+
+// newestValid returns the newest revision that may come into force.
+func (p *platform) newestValid() uint64 {
+	r := p.newest
+	for r > 0 && !p.texts[r].valid {
+		r--
+	}
+	return r
+}
+
+// document returns the platform of a document.
+func (w *world) document(d event.Document) *platform {
+	if d == event.Fleet {
+		return &w.fleet
+	}
+	return &w.rules
+}
+
+// publishRules publishes rules that take data centres out.
+func (w *world) publishRules(out []string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "budget look=%d probe=%d retry=20%% hedge=10%% # Asha: test\n", lookRate, probeRate)
+	for _, s := range []string{"ledger", "export"} {
+		fmt.Fprintf(&b, "service %s slots=%d cold=%d warm=%d shed=yes queue=20ms # Asha: test\n", s, slots, cold, warm)
+		fmt.Fprintf(&b, "route GET /%s service=%s idempotent=yes # Asha: test\n", s, s)
+		fmt.Fprintf(&b, "route POST /%s service=%s idempotent=no # Asha: test\n", s, s)
+	}
+	x := text{valid: true, out: map[string]bool{}, at: w.now}
+	for _, c := range out {
+		fmt.Fprintf(&b, "out centre=%s # Asha: test\n", c)
+		x.out[c] = true
+	}
+	fmt.Fprintf(&b, "# revision %d\n", w.rules.newest+1)
+	x.text = b.String()
+	w.rules.publish(x)
+}
+
+// publishInvalid publishes a text that is no set of rules.
+func (w *world) publishInvalid() {
+	w.rules.publish(text{text: fmt.Sprintf("out centre=north %d", w.rules.newest), at: w.now})
+}
+
+// publishFleet publishes the list of the living, of which some are leaving.
+func (w *world) publishFleet(leaving []string) {
+	x := text{valid: true, leaving: map[string]bool{}, at: w.now}
+	var instances []fleet.Instance
+	for _, p := range w.processes {
+		if !p.alive {
+			continue
+		}
+		i := p.instance
+		i.Leaving = slices.Contains(leaving, i.Name)
+		x.leaving[i.Name] = i.Leaving
+		instances = append(instances, i)
+	}
+	content, err := fleet.Format(instances)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	x.text = content
+	w.fleet.publish(x)
+}
