fix(core/entry): answer unknown where an earlier attempt may have run

Cause: an idempotent request whose first attempt broke or failed, and whose second was refused, was answered not-run. Change: the call remembers that an attempt may have run. Before: TestBrokenThenRefusedIsUnknown and TestFailedThenRefusedIsUnknown fail. After: they pass.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -48,6 +48,7 @@
 // failed idempotent request may be repeated.
 func (n *Entry) ran(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
 	if e.Status >= statusServerError && n.mayRepeat(c, e.At) {
+		c.unsure = true
 		out = append(out, effect.Cancel{ID: c.id, Ticket: e.Ticket})
 		return n.forward(e.At, e.Random, c, effect.ReasonServer, out)
 	}
@@ -117,6 +118,7 @@
 
 // broken goes on after an exchange that has left open whether the attempt ran.
 func (n *Entry) broken(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	c.unsure = c.route.Idempotent
 	if len(c.active) > 0 {
 		return out
 	}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -29,6 +29,8 @@
 	last *ticket.Ticket
 	// recovers tells that the caller asks after an earlier attempt.
 	recovers bool
+	// unsure tells that an attempt of an idempotent request may have run.
+	unsure   bool
 	active   []ticket.Ticket
 	tried    []string
 	attempts int
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -171,6 +171,9 @@
 
 // reply settles c without an answer of a backend server.
 func (n *Entry) reply(c *call, o effect.Outcome, r effect.Reason, out []effect.Effect) []effect.Effect {
+	if o == effect.NotRun && c.unsure {
+		o = effect.Unknown
+	}
 	out = n.cancelAll(c, out)
 	delete(n.calls, c.id)
 	t := c.last
