fix(core/entry): keep a request whose hedge finds no backend server

Cause: a hedge that found every other guard leaving gave up the running attempt and answered not-run. Nothing in Slow held back a non-idempotent request either. Change: a hedge chooses first, and only for idempotent requests; a retry counts only the backend servers that can still be chosen. Before: TestHedgeNeedsAnotherServer and TestNonIdempotentIsNeverHedged fail. After: they pass.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -72,16 +72,16 @@
 	if c.attempts >= mostAttempts || !now.Before(c.deadline) {
 		return false
 	}
-	if c.once || !n.hasUntried(c) {
+	if c.once || !n.hasUntried(now, c) {
 		return false
 	}
 	return n.retries.Spend()
 }
 
-// hasUntried reports whether there is a backend server that c has not tried.
-func (n *Entry) hasUntried(c *call) bool {
+// hasUntried reports whether there is a backend server that c can still be sent to.
+func (n *Entry) hasUntried(now time.Time, c *call) bool {
 	for _, p := range n.services[c.route.Service] {
-		if !c.hasTried(p.instance.Name) {
+		if !c.hasTried(p.instance.Name) && !p.isLeaving(now) {
 			return true
 		}
 	}
--- a/core/entry/hedge.go
+++ b/core/entry/hedge.go
@@ -64,12 +64,16 @@
 // Slow sends a second attempt of a request that has waited for its hedge delay.
 func (n *Entry) Slow(e event.Slow, out []effect.Effect) []effect.Effect {
 	c, ok := n.calls[e.ID]
-	if !ok || c.once || len(c.active) != 1 || !n.hasUntried(c) {
+	if !ok || c.once || !c.route.Idempotent || len(c.active) != 1 {
+		return out
+	}
+	p := n.choose(e.At, e.Random, c)
+	if p == nil {
 		return out
 	}
 	if !n.hedges.Spend() {
 		return append(out, effect.Count{Name: "hedge_denied"})
 	}
 	out = append(out, effect.Count{Name: "hedge"})
-	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
+	return n.send(e.At, e.Random, c, p, out)
 }
