fix(core/entry): never answer not-run to a caller that asks by its ticket

Cause: the entry that made the attempt may have been told that it did not run, and have sent another one, whose ticket is lost with the connection to the caller. The caller asks by the first ticket and was answered not-run. Ruled out: voiding for the caller at the guard, since an entry also goes on without a word of that guard when it cannot connect. Change: the answer is the kept one, running, or unknown; asking voids nothing. Before: TestTicketOfRetriedAttempt fails. After: it passes.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -152,10 +152,7 @@
 	case event.Ran:
 		return n.ranBefore(c, e, out)
 	case event.NotRun:
-		if !c.recovers && n.mayRetry(c, e.At) {
-			return n.forward(e.At, e.Random, c, effect.ReasonVoid, out)
-		}
-		return n.reply(c, effect.NotRun, effect.ReasonVoid, out)
+		return n.voided(c, e, out)
 	case event.Running:
 		if e.At.Before(c.deadline) {
 			return n.ask(c, askPause, out)
@@ -171,6 +168,17 @@
 	return n.reply(c, effect.Unknown, effect.ReasonBroken, out)
 }
 
+// voided goes on after a guard has said that the last attempt of c did not run.
+func (n *Entry) voided(c *call, e event.Judged, out []effect.Effect) []effect.Effect {
+	if c.recovers {
+		return n.reply(c, effect.Unknown, effect.ReasonVoid, out)
+	}
+	if n.mayRetry(c, e.At) {
+		return n.forward(e.At, e.Random, c, effect.ReasonVoid, out)
+	}
+	return n.reply(c, effect.NotRun, effect.ReasonVoid, out)
+}
+
 // ranBefore gives the kept answer of an attempt to the caller, if it is still there.
 func (n *Entry) ranBefore(c *call, e event.Judged, out []effect.Effect) []effect.Effect {
 	if !e.Kept {
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -107,7 +107,9 @@
 	return effect.ReasonDeadline
 }
 
-// recover asks the guard of an earlier attempt what became of it.
+// recover asks the guard of an earlier attempt what became of it. Even if that
+// attempt did not run, the entry that made it may have made another one since, of
+// which the caller has no ticket yet: only the entry of an attempt acts on a refusal.
 func (n *Entry) recover(c *call, t *ticket.Ticket, out []effect.Effect) []effect.Effect {
 	c.last = t
 	c.recovers = true
@@ -183,7 +185,7 @@
 		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
 	}
 	c.asks++
-	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: true, Wait: wait})
+	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: !c.recovers, Wait: wait})
 }
 
 // cancelAll gives up the attempts of c whose exchange has not ended.
