fix(core/entry): say not-run of a repeated key only by its owner

Cause: a caller sends a key again without the mark of the first sending. That this sending did not run, since it was not sent, was voided or met another life, says nothing about the one before, but was answered not-run. While the earlier one ran, the entry voided the ticket of the new one and answered not-run as well. Change: without the mark only a refusal by the owner of the key counts; an earlier sending that runs is answered running, with no ticket to ask by. Before: TestRepeatedKey and TestVoidedRepeatOfKeyIsUnknown fail. After: they pass.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -38,7 +38,7 @@
 	case event.NotRun, event.Unsent:
 		return n.notRun(c, e, out)
 	case event.Running:
-		return n.ask(c, askPause, out)
+		return n.running(c, e, out)
 	case event.Unknown, event.Broken, event.Expired:
 	}
 	return n.broken(c, e, out)
@@ -58,6 +58,16 @@
 	return append(out, effect.Relay{ID: c.id, Ticket: e.Ticket})
 }
 
+// running goes on after the guard has said that the request runs: under the
+// ticket of the attempt, or for an earlier sending of its key.
+func (n *Entry) running(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	if effect.Reason(e.Reason) == effect.ReasonKey {
+		c.last = nil
+		return n.reply(c, effect.Running, effect.ReasonKey, out)
+	}
+	return n.ask(c, askPause, out)
+}
+
 // mayRepeat reports whether c may be sent once more although an attempt of it
 // ran, and takes the repetition out of the budget.
 func (n *Entry) mayRepeat(c *call, now time.Time) bool {
@@ -72,7 +82,7 @@
 	if c.attempts >= mostAttempts || !now.Before(c.deadline) {
 		return false
 	}
-	if c.once || !n.hasUntried(now, c) {
+	if c.once || c.isKeyed() || !n.hasUntried(now, c) {
 		return false
 	}
 	return n.retries.Spend()
@@ -103,6 +113,7 @@
 	if n.mayRetry(c, e.At) {
 		return n.forward(e.At, e.Random, c, reason, out)
 	}
+	c.cleared = e.Verdict == event.NotRun && reason != effect.ReasonLife && reason != effect.ReasonAddress
 	return n.reply(c, effect.NotRun, reason, out)
 }
 
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -30,7 +30,9 @@
 	// recovers tells that the caller asks after an earlier attempt.
 	recovers bool
 	// unsure tells that an attempt of an idempotent request may have run.
-	unsure   bool
+	unsure bool
+	// cleared tells that the owner of the key has said that no sending of it ran.
+	cleared  bool
 	active   []ticket.Ticket
 	tried    []string
 	attempts int
@@ -38,6 +40,15 @@
 	asks     int
 }
 
+// isKeyed reports whether c must go to the owner of its key.
+func (c *call) isKeyed() bool { return c.key != "" && !c.route.Idempotent }
+
+// mayHaveRun reports whether c may have run although its last attempt did not:
+// by an earlier attempt, or by an earlier sending of its key.
+func (c *call) mayHaveRun() bool {
+	return c.unsure || c.isKeyed() && !c.first && !c.cleared
+}
+
 // hasTried reports whether an attempt of c went to the instance of the given name.
 func (c *call) hasTried(name string) bool {
 	for _, t := range c.tried {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -150,7 +150,7 @@
 
 // choose returns the peer that gets the next attempt of c, or nil where there is none.
 func (n *Entry) choose(now time.Time, random uint64, c *call) *peer {
-	if c.key != "" && !c.route.Idempotent {
+	if c.isKeyed() {
 		return n.keyOwner(c)
 	}
 	n.eligible = n.eligible[:0]
@@ -171,7 +171,7 @@
 
 // reply settles c without an answer of a backend server.
 func (n *Entry) reply(c *call, o effect.Outcome, r effect.Reason, out []effect.Effect) []effect.Effect {
-	if o == effect.NotRun && c.unsure {
+	if o == effect.NotRun && c.mayHaveRun() {
 		o = effect.Unknown
 	}
 	out = n.cancelAll(c, out)
