fix(core): hold what a key may do to the condition under which it is certain

Cause, found by reading and by plain tests: - the history of members was renewed only by a change, so after a quiet quarter of an hour no key was settled any more; - a guard that had just come to own a key ran it on the mark of the first sending, while the owner before could still run a repeat on its older view; - a missed version, a long pause or old rules left a key settled; - a closed guard answered not-run to a repeat without looking at its keys. Change: members are observed with each read; keys settle over twelve minutes and twice the lag; the mark needs an owner for twice the lag; the lag is a part of the identity. A guard answers what it knows of a key even when it is closed, and says not-run of a repeat only where it knows. Before: TestRepeatOf..., TestFirstKey... and TestKey... fail. After: they pass.

--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -20,15 +20,22 @@
 			return out
 		}
 	}
+	keyed := e.Key != "" && !e.Idempotent
+	if keyed {
+		var known bool
+		if out, known = g.judgeKey(e, out); known {
+			return out
+		}
+	}
 	if reason := g.closed(gate); reason != "" {
 		return g.refuse(e, reason, out)
 	}
 	if gate.Hold {
 		return g.hold(e, out)
 	}
-	if e.Key != "" && !e.Idempotent {
-		var known bool
-		if out, known = g.judgeKey(e, gate, out); known {
+	if keyed {
+		var barred bool
+		if out, barred = g.bar(e, gate, out); barred {
 			return out
 		}
 	}
@@ -150,7 +157,7 @@
 		g.ledger.Begin(e.Ticket, e.At)
 		g.ledger.Refuse(e.Ticket, e.At)
 	}
-	return deny(e, effect.NotRun, r, out)
+	return deny(e, g.refusal(e), r, out)
 }
 
 // deny appends the refusal of e.
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -25,7 +25,7 @@
 
 const (
 	// KeyWindow is the time for which a key is remembered.
-	KeyWindow = 10 * time.Minute
+	KeyWindow = 12 * time.Minute
 	// recordKeep is the time for which the ledger remembers an ended attempt.
 	recordKeep = KeyWindow
 	// recordCapacity is the number of attempts that the ledger remembers.
@@ -53,6 +53,8 @@
 	Hold bool
 	// Owner tells that this guard owns the key of the attempt.
 	Owner bool
+	// Recent tells that this guard has owned the key for longer than any other view lags.
+	Recent bool
 	// Settled tells that this guard has owned the key long enough to know whether it ran.
 	Settled bool
 }
@@ -164,7 +166,7 @@
 		out = g.refuse(g.waiters[arrival], r, out)
 	}
 	for _, e := range g.held {
-		out = append(out, effect.Deny{Arrival: e.Arrival, Outcome: effect.NotRun, Reason: r})
+		out = g.refuse(e, r, out)
 	}
 	g.held = g.held[:0]
 	return out
--- /dev/null
+++ b/core/guard/guard_test.go
@@ -0,0 +1,85 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/guard"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/ticket"
+)
+
+const ruleText = `
+service ledger slots=4 cold=1 warm=3 # Asha: test
+route POST /lines service=ledger idempotent=no # Asha: test
+`
+
+var (
+	now   = time.Unix(0, 0)
+	self  = ticket.Node{Instance: "b", Incarnation: 1}
+	owned = guard.Gate{Owner: true, Recent: true, Settled: true}
+)
+
+// newGuard returns a guard that holds the rules of these tests.
+func newGuard(c *qt.C) *guard.Guard {
+	set, err := rules.Parse(ruleText)
+	c.Assert(err, qt.IsNil)
+	g := guard.New(guard.Identity{Node: self, Centre: "north", Service: "ledger"})
+	g.Apply(now, set, nil)
+	return g
+}
+
+// find returns the only effect of out, which must be of type T.
+func find[T any](c *qt.C, out []effect.Effect) T {
+	c.Assert(out, qt.HasLen, 1)
+	e, ok := out[0].(T)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%+v", out))
+	return e
+}
+
+// attempt returns the arrival of an attempt with a key.
+func attempt(arrival uint64, key string) event.Attempt {
+	t := ticket.Ticket{Entry: ticket.Node{Instance: "a"}, Sequence: arrival, Guard: self, Service: "ledger"}
+	return event.Attempt{At: now, Ticket: t, Arrival: arrival, Left: time.Second, Key: key}
+}
+
+func TestRepeatOfRunningKey(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	find[effect.Admit](c, g.Attempt(attempt(1, "k"), owned, nil))
+	d := find[effect.Deny](c, g.Attempt(attempt(2, "k"), owned, nil))
+	c.Assert(d.Outcome, qt.Equals, effect.Running)
+	c.Assert(d.Reason, qt.Equals, effect.ReasonKey)
+}
+
+// TestRepeatOfKeyAtClosedGuard checks that a guard that takes no new work still
+// answers by what it knows of a key, and says not-run only where it knows.
+func TestRepeatOfKeyAtClosedGuard(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	g.Attempt(attempt(1, "k"), owned, nil)
+	g.Served(event.Served{At: now, Arrival: 1, Status: 200, Answer: &event.Answer{Status: 200}}, nil)
+	closed := owned
+	closed.Closed = effect.ReasonOut
+	find[effect.Replay](c, g.Attempt(attempt(2, "k"), closed, nil))
+	c.Assert(find[effect.Deny](c, g.Attempt(attempt(3, "other"), closed, nil)).Outcome, qt.Equals, effect.Unknown)
+	first := attempt(4, "first")
+	first.First = true
+	c.Assert(find[effect.Deny](c, g.Attempt(first, closed, nil)).Outcome, qt.Equals, effect.NotRun)
+}
+
+// TestFirstKeyNeedsRecentOwner checks that a guard which has owned a key for
+// less than the lag of the list does not run it: the owner before may yet run
+// the same key for a caller that sends again.
+func TestFirstKeyNeedsRecentOwner(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	e := attempt(1, "k")
+	e.First = true
+	d := find[effect.Deny](c, g.Attempt(e, guard.Gate{Owner: true}, nil))
+	c.Assert(d.Outcome, qt.Equals, effect.NotRun)
+}
--- a/core/guard/keys.go
+++ b/core/guard/keys.go
@@ -5,6 +5,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/ledger"
 	"bulrushlock/core/ticket"
 )
 
@@ -59,19 +60,49 @@
 }
 
 // judgeKey answers an attempt by what became of an earlier one of the same key.
-func (g *Guard) judgeKey(e event.Attempt, gate Gate, out []effect.Effect) ([]effect.Effect, bool) {
+func (g *Guard) judgeKey(e event.Attempt, out []effect.Effect) ([]effect.Effect, bool) {
+	r, ok := g.keys.records[e.Key]
+	if !ok {
+		return out, false
+	}
+	answer, state, kept := g.ledger.Find(r.ticket)
+	switch {
+	case verdictOf(state) == event.NotRun:
+		return out, false
+	case state == ledger.Running:
+		return deny(e, effect.Running, effect.ReasonKey, out), true
+	}
+	return judged(e, answer, state, kept, out)
+}
+
+// bar refuses an attempt of a key of which this guard cannot know whether it has
+// run elsewhere, or may yet.
+func (g *Guard) bar(e event.Attempt, gate Gate, out []effect.Effect) ([]effect.Effect, bool) {
 	if !gate.Owner {
 		return g.refuse(e, effect.ReasonKey, out), true
 	}
-	if r, ok := g.keys.records[e.Key]; ok {
-		answer, state, kept := g.ledger.Find(r.ticket)
-		if verdictOf(state) == event.NotRun {
-			return out, false
-		}
-		return judged(e, answer, state, kept, out)
+	if _, ok := g.keys.records[e.Key]; ok {
+		return out, false
 	}
-	if e.First || (gate.Settled && !e.At.Before(g.keys.blind)) {
+	known := gate.Settled && !e.At.Before(g.keys.blind)
+	if known || e.First && gate.Recent {
 		return out, false
 	}
-	return deny(e, effect.Unknown, effect.ReasonKey, out), true
+	return g.refuse(e, effect.ReasonKey, out), true
+}
+
+// refusal returns the outcome of an attempt that is refused: it has not run, but
+// an earlier sending of its key may have.
+func (g *Guard) refusal(e event.Attempt) effect.Outcome {
+	if e.Idempotent || e.Key == "" || e.First {
+		return effect.NotRun
+	}
+	r, ok := g.keys.records[e.Key]
+	if !ok {
+		return effect.Unknown
+	}
+	if _, state, _ := g.ledger.Find(r.ticket); verdictOf(state) != event.NotRun {
+		return effect.Unknown
+	}
+	return effect.NotRun
 }
--- /dev/null
+++ b/core/node/keys_test.go
@@ -0,0 +1,141 @@
+package node_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+)
+
+const ruleText = `
+service ledger slots=4 # Asha: test
+route POST /lines service=ledger idempotent=no # Asha: test
+`
+
+// bench drives one node by hand.
+type bench struct {
+	c        *qt.C
+	node     *node.Node
+	now      time.Time
+	sequence uint64
+}
+
+// newBench returns a node that has read rules and a list with the given instances.
+func newBench(c *qt.C, names ...string) *bench {
+	b := &bench{c: c, now: time.Unix(0, 0)}
+	b.node = node.New(node.Identity{Instance: "a", Incarnation: 1, Centre: "north", Service: "ledger"}, pick.NewAware())
+	b.node.Start(event.Tick{At: b.now}, nil)
+	b.read(event.Rules, 1, ruleText)
+	b.list(1, names...)
+	return b
+}
+
+// read lets the node read a document from the platform.
+func (b *bench) read(d event.Document, revision uint64, text string) []effect.Effect {
+	return b.node.Step(event.Read{At: b.now, Document: d, Revision: revision, Text: text}, nil)
+}
+
+// list lets the node read a list of the given instances.
+func (b *bench) list(revision uint64, names ...string) {
+	var instances []fleet.Instance
+	for i, name := range names {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
+		instances = append(instances, fleet.Instance{Name: name, Centre: "north", Service: "ledger", Nodes: at, Control: at})
+	}
+	text, err := fleet.Format(instances)
+	b.c.Assert(err, qt.IsNil)
+	b.read(event.Fleet, revision, text)
+}
+
+// wait lets time pass, in which the platform confirms both documents.
+func (b *bench) wait(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.node.Step(event.Tick{At: b.now}, nil)
+		for _, d := range []event.Document{event.Rules, event.Fleet} {
+			b.node.Step(event.Unchanged{At: b.now, Document: d}, nil)
+		}
+	}
+}
+
+// attempt offers an attempt of a key and returns the reason of its refusal, or "" where it is admitted.
+func (b *bench) attempt(key string, first bool) effect.Reason {
+	b.sequence++
+	out := b.node.Step(event.Attempt{
+		At:      b.now,
+		Arrival: b.sequence,
+		Left:    time.Second,
+		Key:     key,
+		First:   first,
+		Ticket: ticket.Ticket{
+			Entry: ticket.Node{Instance: "b"}, Sequence: b.sequence,
+			Guard: ticket.Node{Instance: "a", Incarnation: 1}, Service: "ledger",
+		},
+	}, nil)
+	for _, e := range out {
+		switch e := e.(type) {
+		case effect.Admit:
+			b.node.Step(event.Served{At: b.now, Arrival: e.Arrival, Status: 200}, nil)
+			return ""
+		case effect.Deny:
+			return e.Reason
+		}
+	}
+	b.c.Fatalf("no decision: %+v", out)
+	return ""
+}
+
+func TestKeySettlesWhileNothingChanges(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "a")
+	c.Assert(b.attempt("k", false), qt.Equals, effect.ReasonKey)
+	b.wait(40 * time.Minute)
+	c.Assert(b.attempt("k", false), qt.Equals, effect.Reason(""))
+}
+
+func TestFirstKeyAfterChangeOfOwner(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "a")
+	c.Assert(b.attempt("k", true), qt.Equals, effect.ReasonKey)
+	b.wait(5 * time.Minute)
+	c.Assert(b.attempt("k", true), qt.Equals, effect.Reason(""))
+}
+
+func TestKeyIsNotSettledAfterMissedList(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "a")
+	b.wait(20 * time.Minute)
+	b.list(3, "a")
+	c.Assert(b.attempt("k", false), qt.Equals, effect.ReasonKey)
+	c.Assert(b.attempt("k", true), qt.Equals, effect.Reason(""))
+}
+
+func TestKeyIsNotSettledAfterLongPause(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "a")
+	b.wait(20 * time.Minute)
+	b.now = b.now.Add(5 * time.Minute)
+	b.wait(time.Second)
+	c.Assert(b.attempt("k", false), qt.Equals, effect.ReasonKey)
+	c.Assert(b.attempt("k", true), qt.Equals, effect.ReasonKey)
+}
+
+func TestKeyIsNotSettledWithoutPlatform(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "a")
+	b.wait(20 * time.Minute)
+	for range 3 * 60 * 2 {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.node.Step(event.Tick{At: b.now}, nil)
+	}
+	c.Assert(b.attempt("k", false), qt.Equals, effect.ReasonKey)
+	c.Assert(b.attempt("k", true), qt.Equals, effect.ReasonKey)
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -27,8 +27,8 @@
 const (
 	// pauseTime is the time without a tick after which a node takes it that it was paused.
 	pauseTime = time.Second
-	// listLag is the longest lag of the list of instances for which the owner of a key is certain.
-	listLag = 2 * time.Minute
+	// defaultLag is the lag of views that is allowed for where the identity has none.
+	defaultLag = 2 * time.Minute
 )
 
 // Identity tells what a node stands for.
@@ -41,6 +41,9 @@
 	Refuse bool
 	// Drain is the time for which a leaving node stays to refuse late senders.
 	Drain time.Duration
+	// Lag is the longest lag of a view, and the longest flight of an attempt, for
+	// which the owner of a key is certain; zero stands for two minutes.
+	Lag time.Duration
 }
 
 // Node is the reducer. It is not safe for use by several goroutines at once.
@@ -49,7 +52,12 @@
 	entry    *entry.Entry
 	guard    *guard.Guard
 	gossip   *gossip.Gossip
-	history  *owner.History
+	// settled and recent are the members of the service: those that are known
+	// without a gap, and those that this node has seen.
+	settled *owner.History
+	recent  *owner.History
+	// observed are the versions of the last membership in the history.
+	observed event.Versions
 	looks    *bucket.Bucket
 	probes   *bucket.Bucket
 	probed   *bucket.Bucket
@@ -62,14 +70,20 @@
 // New returns the reducer of one life of a node.
 func New(i Identity, p pick.Policy) *Node {
 	self := ticket.Node{Instance: i.Instance, Incarnation: i.Incarnation}
-	history := owner.New(guard.KeyWindow + listLag)
-	history.Service = i.Service
+	if i.Lag == 0 {
+		i.Lag = defaultLag
+	}
+	settled := owner.New(guard.KeyWindow + 2*i.Lag)
+	settled.Service = i.Service
+	recent := owner.New(2 * i.Lag)
+	recent.Service = i.Service
 	return &Node{
 		identity: i,
 		entry:    entry.New(entry.Identity{Node: self, Centre: i.Centre}, p),
 		guard:    guard.New(guard.Identity{Node: self, Centre: i.Centre, Service: i.Service}),
 		gossip:   gossip.New(i.Instance, i.Centre),
-		history:  history,
+		settled:  settled,
+		recent:   recent,
 		looks:    bucket.New(1, 1),
 		probes:   bucket.New(0, 0),
 		probed:   bucket.New(0, 0),
@@ -104,9 +118,14 @@
 // wake notices that the node was paused before e came.
 func (n *Node) wake(e event.Event, out []effect.Effect) []effect.Effect {
 	at := e.Time()
-	if at.Sub(n.last) <= pauseTime {
+	gap := at.Sub(n.last)
+	if gap <= pauseTime {
 		return out
 	}
+	if gap > n.identity.Lag {
+		n.settled.Forget()
+		n.recent.Forget()
+	}
 	n.last = at
 	out = append(out, effect.Note{Kind: effect.KindPause})
 	out = n.guard.TurnCold("the node was paused", out)
@@ -185,7 +204,11 @@
 	}
 	name, ok := owner.Of(e.Key, n.identity.Service, n.members())
 	gate.Owner = ok && name == n.identity.Instance
-	gate.Settled = n.gossip.FleetAge(e.At) < listLag && n.history.Settled(e.At, e.Key, n.identity.Instance)
+	if max(n.gossip.FleetAge(e.At), n.gossip.Age(e.At)) >= n.identity.Lag {
+		return gate
+	}
+	gate.Recent = n.recent.Settled(e.At, e.Key, n.identity.Instance)
+	gate.Settled = n.settled.Settled(e.At, e.Key, n.identity.Instance)
 	return gate
 }
 
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -7,6 +7,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/gossip"
 	"bulrushlock/core/guard"
+	"bulrushlock/core/view"
 )
 
 // stepGossip takes an event for the views.
@@ -25,9 +26,33 @@
 	case event.Silent:
 		change = n.gossip.Silent()
 	}
+	n.observe(e.Time())
 	return n.apply(e.Time(), change, out)
 }
 
+// observe puts the members of the service into the histories. Where a version was
+// missed its members are not known, and no key is settled.
+func (n *Node) observe(at time.Time) {
+	_, rules := n.gossip.Rules()
+	_, list := n.gossip.Fleet()
+	if !rules || !list {
+		return
+	}
+	v := n.gossip.Versions(at)
+	if !follows(n.observed.Rules, v.Rules) || !follows(n.observed.Fleet, v.Fleet) {
+		n.settled.Forget()
+	}
+	n.observed = v
+	members := n.members()
+	n.settled.Observe(at, members)
+	n.recent.Observe(at, members)
+}
+
+// follows reports whether v is old or the one that was published next.
+func follows(old, v view.Version) bool {
+	return v == old || v.Revision == old.Revision+1
+}
+
 // apply carries a change of the views to the entry and the guard.
 func (n *Node) apply(at time.Time, change gossip.Change, out []effect.Effect) []effect.Effect {
 	if change.Rules || change.Fleet {
@@ -64,9 +89,6 @@
 		n.probed.SetRate(float64(s.Budget.Probe), 1)
 		out = n.guard.Apply(at, s, out)
 	}
-	if instances != nil {
-		n.history.Observe(at, n.members())
-	}
 	return n.noticeOut(out)
 }
 
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -109,6 +109,9 @@
 	return true
 }
 
+// Forget empties the history, for an observer that may have missed a membership.
+func (h *History) Forget() { h.memberships = nil }
+
 // gap reports whether the last membership seen says nothing about now.
 func (h *History) gap(now time.Time) bool {
 	since := now.Sub(h.seen)
