fix(core/guard): stay careful with a backend server that drains, fails or restarts

Cause: a look without an answer ended the drain; answers of 500 ended the cold start; a backend server that restarted within its ramp kept the bound. Change: only an answered look ends a drain, only good answers count for the ramp, and a turn from warm to cold begins it anew. Before: TestUnreachableServerStillDrains, TestServerThatFailsFastStaysCold and TestServerTurnsColdWithinItsRamp fail. After: they pass.

--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -9,6 +9,9 @@
 	"bulrushlock/core/ticket"
 )
 
+// statusServerError is the first HTTP status of a failure of the server.
+const statusServerError = 500
+
 // Attempt decides on an attempt that has arrived.
 func (g *Guard) Attempt(e event.Attempt, gate Gate, out []effect.Effect) []effect.Effect {
 	if reason := g.misaddressed(e.Ticket); reason != "" {
@@ -252,11 +255,13 @@
 		return deny(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonBusy, out)
 	case event.None:
 	}
-	g.limit.Observe(e.At, w.class, e.Spent, inFlight, e.Status >= 500)
+	g.limit.Observe(e.At, w.class, e.Spent, inFlight, e.Status >= statusServerError)
 	if g.limit.Jumped() && !g.ramp.IsCold() {
 		return g.TurnCold("latency jumped", out)
 	}
-	g.ramp.Complete()
+	if e.Status < statusServerError {
+		g.ramp.Complete()
+	}
 	if g.cold && !g.ramp.IsCold() {
 		g.cold = false
 		out = append(out, effect.Note{Kind: effect.KindWarm})
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -75,6 +75,8 @@
 	leaving  bool
 	draining bool
 	down     bool
+	// toldCold tells that the backend server called itself cold when it was last looked at.
+	toldCold bool
 }
 
 // work is an attempt that the backend server runs now.
@@ -185,21 +187,20 @@
 // Looked takes over what the backend server tells of itself. It can only make
 // the guard more careful: a server that calls itself warm does not end the ramp.
 func (g *Guard) Looked(e event.Looked, out []effect.Effect) []effect.Effect {
-	g.draining = e.Condition == event.Draining
-	switch e.Condition {
-	case event.Unreachable:
+	if e.Condition == event.Unreachable {
 		out = g.TurnCold("no answer to a look", out)
-	case event.Cold:
-		g.down = false
-		if !g.ramp.IsCold() {
-			out = g.TurnCold("told by the backend server", out)
-		}
-	case event.Draining:
-		g.down = false
-		out = g.refuseWaiting(effect.ReasonLeaving, out)
-	case event.Warm:
-		g.down = false
+		return g.grant(e.At, out)
+	}
+	g.down = false
+	g.draining = e.Condition == event.Draining
+	if g.draining {
+		return g.refuseWaiting(effect.ReasonLeaving, out)
+	}
+	isCold := e.Condition == event.Cold
+	if isCold && (!g.toldCold || !g.ramp.IsCold()) {
+		out = g.TurnCold("told by the backend server", out)
 	}
+	g.toldCold = isCold
 	return g.grant(e.At, out)
 }
 
--- /dev/null
+++ b/core/guard/server_test.go
@@ -0,0 +1,42 @@
+package guard_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/guard"
+)
+
+func TestUnreachableServerStillDrains(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	g.Looked(event.Looked{At: now, Condition: event.Draining}, nil)
+	g.Looked(event.Looked{At: now, Condition: event.Unreachable}, nil)
+	find[effect.Deny](c, g.Attempt(attempt(1, ""), guard.Gate{}, nil))
+}
+
+func TestServerThatFailsFastStaysCold(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	for i := range uint64(10) {
+		g.Attempt(attempt(i+1, ""), guard.Gate{}, nil)
+		g.Served(event.Served{At: now, Arrival: i + 1, Status: 500}, nil)
+	}
+	c.Assert(g.Load().Limit, qt.Equals, 1)
+}
+
+func TestServerTurnsColdWithinItsRamp(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	for i := range uint64(2) {
+		g.Attempt(attempt(i+1, ""), guard.Gate{}, nil)
+		g.Served(event.Served{At: now, Arrival: i + 1, Status: 200}, nil)
+	}
+	c.Assert(g.Load().Limit, qt.Equals, 3)
+	g.Looked(event.Looked{At: now, Condition: event.Warm}, nil)
+	g.Looked(event.Looked{At: now, Condition: event.Cold}, nil)
+	c.Assert(g.Load().Limit, qt.Equals, 1)
+}
