fix(core/node): let no leaving node end by the event that wakes it

Cause: a node that slept through its drain time ended before it took the request that woke it. Change: only a tick ends a node, and a pause begins the drain time anew.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -109,6 +109,7 @@
 		out = n.stepGossip(e, out)
 	case event.Tick:
 		out = n.tick(e, false, out)
+		out = n.finish(e.At, out)
 	case event.Leave:
 		out = n.leave(e, out)
 	}
@@ -127,6 +128,8 @@
 		n.recent.Forget()
 	}
 	n.last = at
+	// Senders that the node could not refuse while it was paused get their time now.
+	n.left = at
 	out = append(out, effect.Note{Kind: effect.KindPause})
 	out = n.guard.TurnCold("the node was paused", out)
 	return n.tick(event.Tick{At: at, Random: randomOf(e)}, true, out)
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -115,8 +115,7 @@
 	if n.looks.Take(e.At, 1) {
 		out = append(out, effect.Look{})
 	}
-	out = n.probe(e, out)
-	return n.finish(e.At, out)
+	return n.probe(e, out)
 }
 
 // probe asks for the load of a peer whose last answer was a failure.
