fix(core/gossip): read the platform as seldom as was meant

Cause: the end of a read set the time of the next one to now, so a node that does not watch read both documents with every tick, and so did every node while an invalid text was published. Found by the budget for reads in TestAnyFault. Change: the end of a read never brings the next one forward, and what cannot be used is read again after a second.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -142,6 +142,7 @@
 	g.done(e.Document, e.From, e.At)
 	verdict, err := g.offer(e)
 	if err != nil {
+		g.delay(e, e.Document, e.From, random)
 		return Change{}, append(out, effect.Note{Kind: effect.KindInvalid, Text: invalidText(e, err)})
 	}
 	switch verdict {
@@ -151,6 +152,7 @@
 		return g.confirmed(e.At, e.Document, e.From, out)
 	case view.Older, view.Invalid:
 	}
+	g.delay(e, e.Document, e.From, random)
 	return Change{}, append(out, effect.Count{Name: "older_document"})
 }
 
@@ -288,9 +290,7 @@
 // Unread takes over that a read has failed.
 func (g *Gossip) Unread(e event.Unread, random uint64) Change {
 	g.done(e.Document, e.From, e.At)
-	if e.From.Peer == "" {
-		g.reads[e.Document].next = e.At.Add(spread(retryTime, random))
-	}
+	g.delay(e, e.Document, e.From, random)
 	return Change{Trust: g.trust.fail()}
 }
 
@@ -302,8 +302,22 @@
 	if from.Peer != "" {
 		return
 	}
-	g.reads[d].pending = false
-	g.reads[d].next = at
+	r := &g.reads[d]
+	r.pending = false
+	if r.next.Before(at) {
+		r.next = at
+	}
+}
+
+// delay lets the next read of a document wait after one that gave nothing to
+// use, as an invalid text is given again at once.
+func (g *Gossip) delay(e event.Event, d event.Document, from event.Source, random uint64) {
+	if from.Peer != "" {
+		return
+	}
+	if next := e.Time().Add(spread(retryTime, random)); g.reads[d].next.Before(next) {
+		g.reads[d].next = next
+	}
 }
 
 // spread returns a time between half of d and one and a half of d.
--- a/core/proof/carry_test.go
+++ b/core/proof/carry_test.go
@@ -253,10 +253,10 @@
 func (w *world) carryViews(p *process, e effect.Effect) {
 	switch e := e.(type) {
 	case effect.Look:
-		w.spent("looks", &p.looks, lookRate)
+		w.spent("looks", &p.looks, lookRate, 1)
 		w.look(p)
 	case effect.Probe:
-		w.spent("probes", &p.probes, probeRate)
+		w.spent("probes", &p.probes, probeRate, 1)
 		w.probe(p, w.at(e.Peer.Control.Addr()))
 	case effect.Fetch:
 		w.fetch(p, e)
@@ -286,7 +286,7 @@
 			if l.Refused {
 				return
 			}
-			w.spent("answered probes", &g.probed, probeRate)
+			w.spent("answered probes", &g.probed, probeRate, 1)
 			run := func() { w.step(p, event.Loaded{At: w.now, Guard: g.node, Load: l.Load}) }
 			w.post(&message{from: g, to: p, lose: func() {}, run: run})
 		}
@@ -317,8 +317,15 @@
 		lose()
 		return
 	}
+	if e.Peer == nil {
+		w.spent("reads of the platform", &p.reads, readRate, readBurst)
+	}
 	asked := w.now
-	w.post(&message{from: p, to: g, lose: lose, run: func() {
+	newer := func() bool {
+		_, revision, ok := read()
+		return revision > e.After || !ok
+	}
+	w.post(&message{from: p, to: g, due: w.now.Add(e.Wait), early: newer, lose: lose, run: func() {
 		text, revision, ok := read()
 		if !ok {
 			lose()
--- a/core/proof/oracle_test.go
+++ b/core/proof/oracle_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bulrushlock/core/effect"
+	"bulrushlock/core/gossip"
 	"bulrushlock/core/ticket"
 )
 
@@ -13,6 +14,8 @@
 	keyTime = 12 * time.Minute
 	// lagTime is the lag of a view from which the condition for keys does not hold.
 	lagTime = 2 * time.Minute
+	// spreadTime is the time within which a document is in force wherever it can be read.
+	spreadTime = 3 * time.Second
 )
 
 // request is what a caller wants to have done once, however often it sends it.
@@ -88,6 +91,10 @@
 	if w.fleet.texts[v.Fleet.Revision].leaving[p.instance.Name] {
 		w.t.Fatalf("%v leaves by the list %d and admits a request", p.node, v.Fleet.Revision)
 	}
+	fresh := p.reducer.Status(w.now).Trust == gossip.Fresh
+	if fresh && !w.rules.wasNewest(v.Rules.Revision, p.woken.Add(-spreadTime)) {
+		w.t.Fatalf("%v admits a request on revision %d from before its pause", p.node, v.Rules.Revision)
+	}
 }
 
 // versions checks that the documents of p are published ones and never go back.
@@ -102,11 +109,11 @@
 	}
 }
 
-// spent checks that no window holds more events than the rate and one more.
-func (w *world) spent(what string, times *[]time.Time, rate int) {
+// spent checks that no window holds more events than the rate and the burst allow.
+func (w *world) spent(what string, times *[]time.Time, rate, burst int) {
 	*times = append(*times, w.now)
 	for i, at := range *times {
-		allowed := 1 + float64(rate)*w.now.Sub(at).Seconds()
+		allowed := float64(burst) + float64(rate)*w.now.Sub(at).Seconds()
 		if got := len(*times) - i; float64(got) > allowed+0.001 {
 			w.t.Fatalf("%d %s within %v", got, what, w.now.Sub(at))
 		}
--- a/core/proof/platform_test.go
+++ b/core/proof/platform_test.go
@@ -8,6 +8,7 @@
 
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
+	"bulrushlock/core/ticket"
 )
 
 // The limits that the rules of these tests set.
@@ -17,6 +18,9 @@
 	warm      = 6
 	lookRate  = 2
 	probeRate = 5
+	// readRate and readBurst bound the reads of the platform by one node.
+	readRate  = 4
+	readBurst = 8
 )
 
 // platformName stands for the platform at the end of a link.
@@ -29,6 +33,32 @@
 	// shown is the revision that readers get; it is older while the platform is stale.
 	shown uint64
 	down  bool
+	// log lists which revision was shown from which time on.
+	log []showing
+}
+
+// showing is a time from which on a platform showed a revision.
+type showing struct {
+	at       time.Time
+	revision uint64
+}
+
+// show makes a revision the one that readers get.
+func (p *platform) show(at time.Time, revision uint64) {
+	p.shown = revision
+	p.log = append(p.log, showing{at: at, revision: revision})
+}
+
+// wasNewest reports whether a reader of the platform could have learned at the
+// given time or later that nothing is newer than the revision.
+func (p *platform) wasNewest(revision uint64, since time.Time) bool {
+	for i, s := range p.log {
+		last := i+1 == len(p.log) || !p.log[i+1].at.Before(since)
+		if s.revision <= revision && last {
+			return true
+		}
+	}
+	return false
 }
 
 // text is a published text and what it says, as its author meant it.
@@ -37,17 +67,18 @@
 	valid   bool
 	out     map[string]bool
 	leaving map[string]bool
-	members []string
+	// members are the processes that a list names.
+	members []ticket.Node
 	at      time.Time
 }
 
 // publish makes x the newest text. A stale platform does not show it yet.
 func (p *platform) publish(x text) {
-	if p.shown == p.newest {
-		p.shown++
-	}
 	p.newest++
 	p.texts[p.newest] = x
+	if p.shown+1 == p.newest {
+		p.show(x.at, p.newest)
+	}
 }
 
 // read returns what a reader gets.
@@ -55,15 +86,6 @@
 	return p.texts[p.shown].text, p.shown, !p.down && p.shown > 0
 }
 
-// newestValid returns the newest revision that may come into force.
-func (p *platform) newestValid() uint64 {
-	r := p.newest
-	for r > 0 && !p.texts[r].valid {
-		r--
-	}
-	return r
-}
-
 // document returns the platform of a document.
 func (w *world) document(d event.Document) *platform {
 	if d == event.Fleet {
@@ -108,6 +130,7 @@
 		i.Leaving = slices.Contains(leaving, i.Name)
 		x.leaving[i.Name] = i.Leaving
 		instances = append(instances, i)
+		x.members = append(x.members, p.node)
 	}
 	content, err := fleet.Format(instances)
 	if err != nil {
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -206,9 +207,10 @@
 			w.fleet.down = rapid.Bool().Draw(t, "fleet")
 		},
 		"stale": func(t *rapid.T) {
-			w.rules.shown = uint64(rapid.IntRange(1, int(w.rules.newest)).Draw(t, "rules"))
-			w.fleet.shown = uint64(rapid.IntRange(1, int(w.fleet.newest)).Draw(t, "fleet"))
+			w.rules.show(w.now, uint64(rapid.IntRange(1, int(w.rules.newest)).Draw(t, "rules")))
+			w.fleet.show(w.now, uint64(rapid.IntRange(1, int(w.fleet.newest)).Draw(t, "fleet")))
 		},
+		"spread":  w.spread,
 		"restore": func(*rapid.T) { w.restore() },
 	}
 }
@@ -216,10 +218,67 @@
 // restore lets the platform show the newest documents.
 func (w *world) restore() {
 	for _, p := range []*platform{&w.rules, &w.fleet} {
-		p.down, p.shown = false, p.newest
+		p.down = false
+		p.show(w.now, p.newest)
 	}
 }
 
+// spread publishes a document and lets three seconds pass without a new fault.
+// Whoever can be reached from the platform must hold the document then.
+func (w *world) spread(t *rapid.T) {
+	w.restore()
+	w.calm(tickTime)
+	list := rapid.Bool().Draw(t, "list")
+	if list {
+		w.publishFleet([]string{w.processes[rapid.IntRange(0, places-1).Draw(t, "place")].node.Instance})
+	} else {
+		w.publishRules([]string{rapid.SampledFrom([]string{"north", "south"}).Draw(t, "out")})
+	}
+	near := w.direct()
+	down := rapid.Bool().Draw(t, "down")
+	w.calm(spreadTime / 2)
+	w.rules.down, w.fleet.down = down, down
+	w.calm(spreadTime / 2)
+	for _, p := range w.processes {
+		if !p.alive || !near[p] && !w.isBeside(p, near) {
+			continue
+		}
+		v := p.reducer.Versions(w.now)
+		if list && v.Fleet.Revision < w.fleet.newest || !list && v.Rules.Revision < w.rules.newest {
+			w.t.Fatalf("%v holds %v, not %d or %d", p.node, v, w.rules.newest, w.fleet.newest)
+		}
+	}
+}
+
+// direct returns the processes that watch the platform and can reach it.
+func (w *world) direct() map[*process]bool {
+	near := map[*process]bool{}
+	for _, p := range w.processes {
+		watches := p.reducer.Status(w.now).Watches
+		near[p] = p.alive && !p.paused && watches && !w.cut[[2]string{p.node.Instance, platformName}]
+	}
+	return near
+}
+
+// isBeside reports whether p and one of near can reach each other and know each other.
+func (w *world) isBeside(p *process, near map[*process]bool) bool {
+	if !p.alive || p.paused {
+		return false
+	}
+	for _, q := range w.processes {
+		if near[q] && q != p && !w.isCut(p, q) && !w.isCut(q, p) && w.lists(p, q) && w.lists(q, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// lists reports whether the list that p holds has q.
+func (w *world) lists(p, q *process) bool {
+	v := p.reducer.Versions(w.now)
+	return slices.Contains(w.fleet.texts[v.Fleet.Revision].members, q.node)
+}
+
 // sleep returns the actions that let much time pass.
 func (w *world) sleep() actions {
 	return actions{
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -67,7 +67,9 @@
 type message struct {
 	from, to *process
 	due      time.Time
-	run      func()
+	// early tells that the message is due at once, or is nil.
+	early func() bool
+	run   func()
 	// lose does what the loss of the message leads to; it is nil for what cannot be lost.
 	lose func()
 }
@@ -82,6 +84,7 @@
 	paused    bool
 	left      bool
 	last      time.Time
+	woken     time.Time
 	held      event.Versions
 	sendings  map[uint64]*sending
 	exchanges map[ticket.Ticket]*exchange
@@ -92,6 +95,7 @@
 	looks     []time.Time
 	probes    []time.Time
 	probed    []time.Time
+	reads     []time.Time
 }
 
 // server is a backend server as it really is.
@@ -211,7 +215,8 @@
 
 // isDue reports whether m can be delivered now.
 func (w *world) isDue(m *message) bool {
-	if m.due.After(w.now) || m.to != nil && m.to.paused {
+	waits := m.due.After(w.now) && (m.early == nil || !m.early())
+	if waits || m.to != nil && m.to.paused {
 		return false
 	}
 	return !w.isCut(m.from, m.to)
@@ -272,6 +277,7 @@
 	}
 	if w.now.Sub(p.last) > pauseTime {
 		p.server.completed = 0
+		p.woken = w.now
 	}
 	if _, ok := e.(event.Tick); ok || w.now.Sub(p.last) > pauseTime {
 		p.last = w.now
