fix(core/gossip): let a new watcher read the platform at once

Cause: a node that came to watch kept the time of its next read from before, half a minute away. Before: TestNewWatcherReadsAtOnce fails. After: it passes.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -200,7 +200,11 @@
 			near = append(near, i.Name)
 		}
 	}
+	watched := g.watches
 	g.watches = watcher(g.instance, near)
+	if g.watches && !watched {
+		g.reads = [documents]reading{{pending: g.reads[0].pending}, {pending: g.reads[1].pending}}
+	}
 }
 
 // watcher reports whether the instance is one of the watchers among near.
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -78,3 +78,13 @@
 	n := reads(g, 10*time.Second, func(at time.Time, d event.Document) { read(g, at, d, 2, "nonsense") })
 	c.Assert(n <= 50, qt.IsTrue, qt.Commentf("%d reads", n))
 }
+
+// TestNewWatcherReadsAtOnce lets a node become a watcher as most others go.
+func TestNewWatcherReadsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	g := newGossip(c)
+	unchanged := func(at time.Time, d event.Document) { g.Unchanged(event.Unchanged{At: at, Document: d}, nil) }
+	reads(g, 200*time.Millisecond, unchanged)
+	read(g, began, event.Fleet, 2, "[]")
+	c.Assert(reads(g, 100*time.Millisecond, unchanged), qt.Equals, 2)
+}
