fix(core/gossip): read the platform when a peer that is not listed knows more

Cause: a node whose listed peers had all been replaced took no notice of the new ones, and held its old list until its next poll. Change: the next read of the platform is brought forward to one second. Before: TestToldByStranger fails with 0 reads. After: it passes.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -235,12 +235,12 @@
 
 // Told takes over the versions of a peer.
 func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
-	p := g.other(e.Peer)
-	if p != nil && g.fleet.Wants(e.Versions.Fleet) {
-		out = append(out, effect.Fetch{Document: event.Fleet, Peer: p, After: g.fleet.Version().Revision})
+	wantsRules := g.rules.Wants(e.Versions.Rules)
+	if g.fleet.Wants(e.Versions.Fleet) {
+		out = g.fetchFrom(e, event.Fleet, out)
 	}
-	if p != nil && g.rules.Wants(e.Versions.Rules) {
-		return Change{}, append(out, effect.Fetch{Document: event.Rules, Peer: p, After: g.rules.Version().Revision})
+	if wantsRules {
+		return Change{}, g.fetchFrom(e, event.Rules, out)
 	}
 	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime {
 		return Change{Trust: g.trust.fail()}, out
@@ -249,6 +249,18 @@
 	return Change{Trust: g.trust.confirm()}, out
 }
 
+// fetchFrom asks the peer of e for a document. A peer that is not listed has no
+// known address: the platform is read soon in its place.
+func (g *Gossip) fetchFrom(e event.Told, d event.Document, out []effect.Effect) []effect.Effect {
+	if p := g.other(e.Peer); p != nil {
+		return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
+	}
+	if soon := e.At.Add(retryTime); g.reads[d].next.After(soon) {
+		g.reads[d].next = soon
+	}
+	return out
+}
+
 // other returns the listed peer of the given name, or nil.
 func (g *Gossip) other(name string) *fleet.Instance {
 	for i := range g.others {
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -11,6 +11,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/gossip"
+	"bulrushlock/core/view"
 )
 
 const ruleText = "service ledger slots=4 # Asha: test\n"
@@ -88,3 +89,13 @@
 	read(g, began, event.Fleet, 2, "[]")
 	c.Assert(reads(g, 100*time.Millisecond, unchanged), qt.Equals, 2)
 }
+
+// TestToldByStranger lets a peer that is not listed tell of a newer list.
+func TestToldByStranger(t *testing.T) {
+	c := qt.New(t)
+	g := newGossip(c)
+	unchanged := func(at time.Time, d event.Document) { g.Unchanged(event.Unchanged{At: at, Document: d}, nil) }
+	reads(g, 200*time.Millisecond, unchanged)
+	g.Told(event.Told{At: began, Peer: "z", Versions: event.Versions{Fleet: view.Version{Revision: 2}}}, nil)
+	c.Assert(reads(g, 1500*time.Millisecond, unchanged), qt.Equals, 1)
+}
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -75,7 +75,6 @@
 		r.key = fmt.Sprintf("key %d", r.number)
 		r.first = rapid.Bool().Draw(t, "first")
 	}
-	w.requests = append(w.requests, r)
 	w.submit(t, r)
 }
 
@@ -88,13 +87,18 @@
 	if r.idempotent || r.key == "" && r.ticket == nil {
 		t.Skip("the request cannot be sent again")
 	}
-	r.first = false
 	w.submit(t, r)
 }
 
 // submit sends r to an entry.
 func (w *world) submit(t *rapid.T, r *request) {
 	p := w.process(t)
+	ticketed := r.sendings > 0 && (r.key == "" || rapid.Bool().Draw(t, "ticketed"))
+	if r.sendings == 0 {
+		w.requests = append(w.requests, r)
+	} else {
+		r.first = false
+	}
 	s := &sending{request: r, entry: p, id: w.number()}
 	w.sendings = append(w.sendings, s)
 	p.sendings[s.id] = s
@@ -102,7 +106,7 @@
 	if r.idempotent {
 		e.Method = "GET"
 	}
-	if r.sendings > 0 && (r.key == "" || rapid.Bool().Draw(t, "ticketed")) {
+	if ticketed {
 		e.Ticket = r.ticket
 	}
 	r.sendings++
