fix(core/gossip): push a new text to different peers

Cause: the step between the peers could divide their number, so that one peer was told four times and others not at all. Before: TestNewTextIsPushedToDifferentPeers fails. After: it passes.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -226,6 +226,9 @@
 	}
 	versions := g.Versions(at)
 	stride := 1 + (random>>32)%total
+	for hasCommonFactor(stride, total) {
+		stride++
+	}
 	for i := range min(uint64(count), total) {
 		p := g.others[(random+i*stride)%total]
 		out = append(out, effect.Tell{Peer: p, Versions: versions})
@@ -233,6 +236,14 @@
 	return out
 }
 
+// hasCommonFactor reports whether steps of a visit less than all of b peers.
+func hasCommonFactor(a, b uint64) bool {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a != 1
+}
+
 // Told takes over the versions of a peer.
 func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
 	wantsRules := g.rules.Wants(e.Versions.Rules)
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -99,3 +99,19 @@
 	g.Told(event.Told{At: began, Peer: "z", Versions: event.Versions{Fleet: view.Version{Revision: 2}}}, nil)
 	c.Assert(reads(g, 1500*time.Millisecond, unchanged), qt.Equals, 1)
 }
+
+func TestNewTextIsPushedToDifferentPeers(t *testing.T) {
+	c := qt.New(t)
+	for random := range uint64(8) {
+		g := newGossip(c)
+		e := event.Read{At: began, Document: event.Rules, Revision: 2, Text: ruleText}
+		_, out := g.Read(e, random<<32, nil)
+		told := map[string]bool{}
+		for _, e := range out {
+			if e, ok := e.(effect.Tell); ok {
+				told[e.Peer.Name] = true
+			}
+		}
+		c.Assert(told, qt.HasLen, 4)
+	}
+}
