feat(cmd): run a node as a process

Cause: the parts had to become a path from a caller to a backend server and back. Ruled out: announcing a ticket whose guard life is unknown, as that attempt is always refused.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -61,7 +61,6 @@
 	reads    [documents]reading
 	watches  bool
 	round    time.Time
-	cursor   uint64
 	trust    trust
 	others   []fleet.Instance
 }
--- /dev/null
+++ b/io/carry/carry.go
@@ -0,0 +1,190 @@
+// Package carry carries out the effects that belong to no request: reads of the
+// platform and of peers, exchanges of versions, looks and probes.
+//
+// # Usage
+//
+//	c := carry.New(carry.Options{Platform: reader, Looker: looker})
+//	c.Start(l, w)
+//	c.Do(effect.Look{})
+package carry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/plat"
+	"bulrushlock/io/serve"
+	"bulrushlock/io/wire"
+)
+
+const (
+	// readTime is the longest time of a read of the platform, besides the time that it may hold the call.
+	readTime = 2 * time.Second
+	// lookTime is the longest time of a look at the backend server.
+	lookTime = time.Second
+)
+
+// Options are what a Carrier works with.
+type Options struct {
+	Platform plat.Reader
+	Looker   serve.Looker
+	// Peers are the control listeners of a few other nodes that are asked at the start.
+	Peers []netip.AddrPort
+	// Finished is called when a leaving node has no work left.
+	Finished func()
+}
+
+// Carrier carries out effects beside the loop that asks for them.
+type Carrier struct {
+	options Options
+	ready   chan struct{}
+	loop    *loop.Loop
+	wire    *wire.Wire
+	context context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns a carrier whose effects wait for Start.
+func New(o Options) *Carrier {
+	c := &Carrier{options: o, ready: make(chan struct{})}
+	c.context, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// Start gives the carrier the loop that takes its events and the calls to other
+// nodes, and asks the nodes that the settings name for their versions.
+func (c *Carrier) Start(l *loop.Loop, w *wire.Wire) {
+	c.loop, c.wire = l, w
+	close(c.ready)
+	for _, p := range c.options.Peers {
+		c.spawn(func() { c.bootstrap(p) })
+	}
+}
+
+// Stop gives up what is under way and waits for its end.
+func (c *Carrier) Stop() {
+	c.cancel()
+	c.running.Wait()
+}
+
+// Do carries out e without blocking the caller.
+func (c *Carrier) Do(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Fetch:
+		c.spawn(func() { c.fetch(e) })
+	case effect.Tell:
+		c.spawn(func() { c.tell(e) })
+	case effect.Look:
+		c.spawn(c.look)
+	case effect.Probe:
+		c.spawn(func() { c.probe(e) })
+	case effect.Finished:
+		c.spawn(c.options.Finished)
+	}
+}
+
+// spawn runs f beside the caller, once the carrier is started.
+func (c *Carrier) spawn(f func()) {
+	c.running.Go(func() {
+		select {
+		case <-c.ready:
+			f()
+		case <-c.context.Done():
+		}
+	})
+}
+
+// fetch reads a document from the platform or from a peer.
+func (c *Carrier) fetch(e effect.Fetch) {
+	if e.Peer != nil {
+		c.fetchFrom(e.Peer.Control, event.Source{Peer: e.Peer.Name}, e.Document)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.context, e.Wait+readTime)
+	defer cancel()
+	read := c.options.Platform.Rules
+	if e.Document == event.Fleet {
+		read = c.options.Platform.Instances
+	}
+	d, err := read(ctx, e.After, e.Wait)
+	now := time.Now()
+	var unchanged *plat.UnchangedError
+	switch {
+	case errors.As(err, &unchanged):
+		c.loop.Do(event.Unchanged{At: now, Document: e.Document})
+	case err != nil:
+		c.loop.Do(event.Unread{At: now, Document: e.Document})
+	default:
+		c.loop.Do(event.Read{At: now, Document: e.Document, Text: d.Text, Revision: d.Revision})
+	}
+}
+
+// fetchFrom reads a document from the node at peer.
+func (c *Carrier) fetchFrom(peer netip.AddrPort, from event.Source, d event.Document) {
+	a, err := c.wire.Fetch(c.context, peer, d)
+	now := time.Now()
+	if err != nil || a.Revision == 0 {
+		c.loop.Do(event.Unread{At: now, Document: d, From: from})
+		return
+	}
+	c.loop.Do(event.Read{At: now, Document: d, From: from, Text: a.Text, Revision: a.Revision})
+}
+
+// tell exchanges versions with a peer.
+func (c *Carrier) tell(e effect.Tell) {
+	a, err := c.wire.Tell(c.context, e.Peer.Control, e.Versions)
+	if err != nil {
+		c.loop.Do(event.Silent{At: time.Now(), Peer: e.Peer.Name})
+		return
+	}
+	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Versions: a.Versions})
+}
+
+// bootstrap reads both documents from a node that the settings name.
+func (c *Carrier) bootstrap(peer netip.AddrPort) {
+	from := event.Source{Peer: peer.String()}
+	c.fetchFrom(peer, from, event.Rules)
+	c.fetchFrom(peer, from, event.Fleet)
+}
+
+// look looks at the backend server beside this node.
+func (c *Carrier) look() {
+	ctx, cancel := context.WithTimeout(c.context, lookTime)
+	defer cancel()
+	s, err := c.options.Looker.Look(ctx)
+	if c.context.Err() != nil {
+		return
+	}
+	c.loop.Do(event.Looked{At: time.Now(), Condition: conditionOf(s, err)})
+}
+
+// conditionOf returns what a look has shown.
+func conditionOf(s serve.Sight, err error) event.Condition {
+	if err != nil {
+		return event.Unreachable
+	}
+	switch s.State {
+	case serve.Cold:
+		return event.Cold
+	case serve.Draining:
+		return event.Draining
+	case serve.Warm, serve.Unknown:
+	}
+	return event.Warm
+}
+
+// probe asks for the load of a peer.
+func (c *Carrier) probe(e effect.Probe) {
+	a, err := c.wire.Probe(c.context, e.Peer.Control)
+	if err != nil || a.Refused || a.From.Instance != e.Peer.Name {
+		return
+	}
+	c.loop.Do(event.Loaded{At: time.Now(), Guard: a.From, Load: a.Load})
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,240 @@
+// Package daemon puts a node together: its reducer, its listeners and its calls.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, logger)
+//	if err != nil {
+//		return err // a *daemon.ListenError
+//	}
+//	d.Leave()
+//	d.Wait()
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/carry"
+	"bulrushlock/io/conf"
+	"bulrushlock/io/front"
+	"bulrushlock/io/gate"
+	"bulrushlock/io/link"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/oper"
+	"bulrushlock/io/plat"
+	"bulrushlock/io/serve"
+	"bulrushlock/io/wire"
+)
+
+const (
+	// reportTime is the time between two reports of the metrics.
+	reportTime = time.Second
+	// headerTime is the longest time for reading the head of a request.
+	headerTime = 10 * time.Second
+	// idleTime is the time after which a connection of a caller that is not used is closed.
+	idleTime = 2 * time.Minute
+	// dialTime is the longest time for making a connection to the backend server.
+	dialTime = time.Second
+	// serverConnections is the number of unused connections that are kept to the backend server.
+	serverConnections = 128
+)
+
+// Daemon is a running node.
+type Daemon struct {
+	settings *conf.Settings
+	logger   *slog.Logger
+	loop     *loop.Loop
+	carrier  *carry.Carrier
+	link     *link.Link
+	control  net.Listener
+	servers  []*http.Server
+	metrics  interface{ Close() error }
+	finished chan struct{}
+	once     sync.Once
+	ended    chan struct{}
+}
+
+// ListenError is a listener that could not be opened.
+type ListenError struct {
+	Key     string
+	Address netip.AddrPort
+	Cause   error
+}
+
+// Error names the settings key, the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listener %s on %v: %v", e.Key, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// listeners are the four listeners of a node.
+type listeners struct {
+	callers, nodes, control, operators net.Listener
+}
+
+// New starts a node. It fails with a *ListenError.
+func New(s *conf.Settings, logger *slog.Logger) (*Daemon, error) {
+	l, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings: s,
+		logger:   logger.With("instance", s.Instance, "centre", s.Centre),
+		control:  l.control,
+		finished: make(chan struct{}),
+		ended:    make(chan struct{}),
+	}
+	d.start(l)
+	return d, nil
+}
+
+// listen opens the listeners of a node, or none of them.
+func listen(s *conf.Settings) (listeners, error) {
+	var l listeners
+	var opened []net.Listener
+	for _, o := range []struct {
+		key     string
+		address netip.AddrPort
+		place   *net.Listener
+	}{
+		{"callers", s.Callers, &l.callers},
+		{"nodes", s.Nodes, &l.nodes},
+		{"control", s.Control, &l.control},
+		{"operators", s.Operators, &l.operators},
+	} {
+		opener, err := net.Listen("tcp", o.address.String())
+		if err != nil {
+			for _, other := range opened {
+				_ = other.Close()
+			}
+			return l, &ListenError{Key: o.key, Address: o.address, Cause: err}
+		}
+		*o.place = opener
+		opened = append(opened, opener)
+	}
+	return l, nil
+}
+
+// start puts the parts together and starts them.
+func (d *Daemon) start(l listeners) {
+	s := d.settings
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(err error) { d.logger.Error("metric", "error", err) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "bulrushlock",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+
+		OmitCardinalityMetrics: true,
+	}, reportTime)
+	d.metrics = closer
+	self := ticket.Node{Instance: s.Instance, Incarnation: rand.Uint64()}
+	d.carrier = carry.New(carry.Options{
+		Platform: plat.NewHTTP(s.Platform, &http.Client{}),
+		Looker:   serve.NewHTTP(s.Server, &http.Client{}),
+		Peers:    s.Peers,
+		Finished: func() { d.once.Do(func() { close(d.finished) }) },
+	})
+	n := node.New(node.Identity{
+		Instance:    s.Instance,
+		Incarnation: self.Incarnation,
+		Centre:      s.Centre,
+		Service:     s.Service,
+		Refuse:      s.Isolated == conf.Refuse,
+		Drain:       s.Drain,
+	}, pick.NewAware())
+	d.loop = loop.New(n, loop.Options{
+		Instance: s.Instance,
+		Centre:   s.Centre,
+		Logger:   d.logger,
+		Scope:    scope,
+		Carry:    d.carrier.Do,
+	})
+	d.serve(l, self, scope, reporter.HTTPHandler())
+}
+
+// serve starts to serve the listeners.
+func (d *Daemon) serve(l listeners, self ticket.Node, scope tally.Scope, metrics http.Handler) {
+	w := wire.New(d.loop, self)
+	d.link = link.New(d.loop)
+	g := gate.New(d.loop, gate.Options{Node: self, Server: d.settings.Server, Transport: serverTransport()})
+	f := front.New(d.loop, front.Options{Local: g, Remote: d.link, Asker: w, Scope: scope})
+	d.carrier.Start(d.loop, w)
+	go w.Serve(l.control)
+	d.add(l.callers, f)
+	d.add(l.nodes, g)
+	d.add(l.operators, oper.New(d.loop, metrics))
+	go d.end()
+}
+
+// add serves h on l.
+func (d *Daemon) add(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug)}
+	d.servers = append(d.servers, s)
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("listener ended", "address", l.Addr().String(), "error", err)
+		}
+	}()
+}
+
+// serverTransport returns the transport to the backend server.
+func serverTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: serverConnections,
+		IdleConnTimeout:     idleTime,
+	}
+}
+
+// Leave makes the node refuse new work, finish what is under way, and end.
+func (d *Daemon) Leave() {
+	d.loop.Do(event.Leave{At: time.Now()})
+	for _, s := range d.servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+}
+
+// Wait returns when the node has ended.
+func (d *Daemon) Wait() { <-d.ended }
+
+// end ends the node once its work is finished. Answers that are still being
+// sent are finished without a time limit.
+func (d *Daemon) end() {
+	defer close(d.ended)
+	<-d.finished
+	for _, s := range d.servers {
+		if err := s.Shutdown(context.Background()); err != nil {
+			d.logger.Error("shutdown", "error", err)
+		}
+	}
+	_ = d.control.Close()
+	d.carrier.Stop()
+	d.loop.Stop()
+	d.link.Close()
+	_ = d.metrics.Close()
+}
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -105,7 +105,7 @@
 
 // forward sends an attempt. An attempt that may be hedged runs beside the visit.
 func (v *visit) forward(e effect.Forward) {
-	if !e.Route.Idempotent {
+	if !e.Route.Idempotent && e.Ticket.Guard.Incarnation != 0 {
 		v.announce(e.Ticket)
 	}
 	ctx := v.request.Context()
@@ -132,6 +132,8 @@
 }
 
 // announce tells the caller the ticket of an attempt before the attempt is sent.
+// An attempt for a life of the guard that is not known is always refused and
+// needs no ticket.
 func (v *visit) announce(t ticket.Ticket) {
 	v.writer.Header().Set(xchg.HeaderTicket, t.String())
 	v.writer.WriteHeader(http.StatusEarlyHints)
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	overdue := time.AfterFunc(p.offer.Head, func() { cancel(context.DeadlineExceeded) })
 	began := time.Now()
-	r, err := p.gate.options.Transport.RoundTrip(p.request(ctx))
+	r, err := p.gate.options.Transport.RoundTrip(p.request(ctx)) //nolint:bodyclose // The stream closes it.
 	overdue.Stop()
 	spent := time.Since(began)
 	if err != nil {
