feat(cmd): check settings, and settings against rules

Cause: settings can be read now; one that names a service without a rule would only be noticed by the node that starts with it. Ruled out: a place for that fault inside the settings, whose records hold no places; it stands at 1:1 with its key. Checked: go test -race ./cmd/ ./core/rules/; the linter reports 0 issues.

--- /dev/null
+++ b/cmd/checkreport.go
@@ -0,0 +1,151 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"bulrushlock/core/rules"
+)
+
+// Values of the flag --format.
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+// fault is one mistake in a file.
+type fault struct {
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Key     string `json:"key,omitempty"`
+	Problem string `json:"problem"`
+	Mend    string `json:"mend,omitempty"`
+}
+
+// String returns the fault as line:column: key: problem (mend).
+func (f fault) String() string {
+	text := f.Problem
+	if f.Key != "" {
+		text = f.Key + ": " + text
+	}
+	if f.Mend != "" {
+		text += " (" + f.Mend + ")"
+	}
+	return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, text)
+}
+
+// checkedFile is what was found in one file.
+type checkedFile struct {
+	File   string  `json:"file"`
+	Faults []fault `json:"faults"`
+}
+
+// checkedValue is a key whose value would change.
+type checkedValue struct {
+	Key    string `json:"key"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// checkedEdit is one difference that new rules would make.
+type checkedEdit struct {
+	Kind   string         `json:"kind"`
+	Action string         `json:"action"`
+	Name   string         `json:"name,omitempty"`
+	Values []checkedValue `json:"values,omitempty"`
+	Routes []string       `json:"routes,omitempty"`
+}
+
+// checkReport is all that the command check prints.
+type checkReport struct {
+	Files []checkedFile `json:"files"`
+	// Change is nil when there was nothing to compare with.
+	Change []checkedEdit `json:"change,omitzero"`
+}
+
+// add records the faults of a file, which may be none.
+func (r *checkReport) add(path string, faults ...fault) {
+	r.Files = append(r.Files, checkedFile{File: path, Faults: append([]fault{}, faults...)})
+}
+
+// checkedEdits returns the form of a change that is printed.
+func checkedEdits(c rules.Change) []checkedEdit {
+	edits := []checkedEdit{}
+	for _, e := range c.Edits {
+		edit := checkedEdit{Kind: string(e.Kind), Action: string(e.Action), Name: e.Name, Routes: e.Routes}
+		for _, v := range e.Values {
+			edit.Values = append(edit.Values, checkedValue(v))
+		}
+		edits = append(edits, edit)
+	}
+	return edits
+}
+
+// printCheck prints r in the given format.
+func printCheck(r checkReport, format string, s streams) error {
+	if format == formatJSON {
+		e := json.NewEncoder(s.out)
+		e.SetIndent("", "  ")
+		e.SetEscapeHTML(false)
+		return e.Encode(r)
+	}
+	var b strings.Builder
+	for _, file := range r.Files {
+		if len(file.Faults) == 0 {
+			fmt.Fprintf(&b, "%s: good\n", file.File)
+		}
+		for _, f := range file.Faults {
+			fmt.Fprintf(&b, "%s:%v\n", file.File, f)
+		}
+	}
+	writeEdits(&b, r.Change)
+	_, err := fmt.Fprint(s.out, b.String())
+	return err
+}
+
+// writeEdits writes what new rules would change, one edit a line.
+func writeEdits(b *strings.Builder, edits []checkedEdit) {
+	if edits == nil {
+		return
+	}
+	if len(edits) == 0 {
+		b.WriteString("no change\n")
+	}
+	for _, e := range edits {
+		fmt.Fprintln(b, editLine(e))
+	}
+}
+
+// editLine returns one edit as a line for people.
+func editLine(e checkedEdit) string {
+	words := []string{e.Action, kindName(e.Kind)}
+	if e.Name != "" {
+		words = append(words, e.Name)
+	}
+	line := strings.Join(words, " ")
+	if e.Action == string(rules.ActionChange) {
+		line += ":" + valuesText(e.Values)
+	}
+	if len(e.Routes) > 0 {
+		line += "; its routes: " + strings.Join(e.Routes, ", ")
+	}
+	return line
+}
+
+// kindName returns the words for a kind of rule.
+func kindName(kind string) string {
+	if kind == string(rules.KindCentre) {
+		return "data centre"
+	}
+	return kind
+}
+
+// valuesText returns the values of a changed rule, each after a space.
+func valuesText(values []checkedValue) string {
+	var b strings.Builder
+	for _, v := range values {
+		fmt.Fprintf(&b, " %s %s -> %s", v.Key, v.Before, v.After)
+	}
+	return b.String()
+}
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"bulrushlock/core/rules"
+	"bulrushlock/io/conf"
 )
 
 func TestMain(m *testing.M) {
@@ -74,6 +75,12 @@
 				nodes, err := filepath.Glob(filepath.Join("../examples", tt.name, "nodes", v.Name+"-*.yaml"))
 				c.Assert(err, qt.IsNil)
 				c.Check(nodes, qt.HasLen, tt.servers[v.Name])
+				for _, path := range nodes {
+					settings, err := conf.Load(path)
+					c.Assert(err, qt.IsNil)
+					c.Check(settings.Service, qt.Equals, v.Name)
+					c.Check(settings.Instance+".yaml", qt.Equals, filepath.Base(path))
+				}
 				c.Check(v.Slots, qt.Equals, tt.slots)
 				c.Check(v.Connections, qt.Equals, 250)
 			}
