feat(core): add scenes in virtual time and the measure command

Cause: the policy has to be decided by measurement, under load and faults. Change: core/scene drives the picker, budget, limit and ramp against stand-ins of backend servers; bulrushlock measure prints text, JSON or a plot.

--- /dev/null
+++ b/cmd/measure.go
@@ -0,0 +1,161 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bulrushlock/core/scene"
+)
+
+// measureFlags are the flags of the measure command.
+type measureFlags struct {
+	scene  string
+	size   string
+	policy string
+	seed   uint64
+	length time.Duration
+	queue  time.Duration
+	plain  bool
+	format string
+	plot   string
+}
+
+// noSceneError is the name of a scene or size that does not exist.
+type noSceneError struct {
+	name string
+}
+
+// Error names what does not exist.
+func (e *noSceneError) Error() string {
+	return fmt.Sprintf("no scene, size or policy is called %q", e.name)
+}
+
+// registerMeasure adds the command that measures the policies in virtual time.
+func registerMeasure(a *kingpin.Application, s streams) {
+	var f measureFlags
+	c := a.Command("measure", "Measure the policies of the picker in virtual time.")
+	c.Flag("scene", "Run only this scene.").StringVar(&f.scene)
+	c.Flag("size", "Run only this size of fleet.").StringVar(&f.size)
+	c.Flag("policy", "Run only this policy.").StringVar(&f.policy)
+	c.Flag("seed", "Seed of all randomness.").Default("1").Uint64Var(&f.seed)
+	c.Flag("length", "Virtual length of a run.").Default("4s").DurationVar(&f.length)
+	c.Flag("queue", "Longest wait at a guard; below 0 to refuse at once.").Default("5ms").DurationVar(&f.queue)
+	c.Flag("plain", "Let guards admit by slots alone.").BoolVar(&f.plain)
+	c.Flag("format", "Format of the results.").Default("text").EnumVar(&f.format, "text", "json")
+	c.Flag("plot", "File for a plot of the results (SVG).").StringVar(&f.plot)
+	c.Action(func(*kingpin.ParseContext) error {
+		return runMeasure(f, s.out)
+	})
+}
+
+// runMeasure runs the scenes that the flags select and prints the results.
+func runMeasure(f measureFlags, out io.Writer) error {
+	runs, err := f.runs()
+	if err != nil {
+		return err
+	}
+	results, err := runAll(runs)
+	if err != nil {
+		return &failedError{cause: err}
+	}
+	if f.plot != "" {
+		if err := plotResults(f.plot, results); err != nil {
+			return &failedError{cause: err}
+		}
+	}
+	if f.format == "json" {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		err = e.Encode(results)
+	} else {
+		err = printResults(out, results)
+	}
+	if err != nil {
+		return &failedError{cause: err}
+	}
+	return nil
+}
+
+// run is one run of a scene that is to be made.
+type run struct {
+	scene   scene.Scene
+	size    scene.Size
+	policy  string
+	options scene.Options
+}
+
+// runs returns the runs that the flags select. It fails with a *noSceneError if
+// there are none.
+func (f measureFlags) runs() ([]run, error) {
+	options := scene.Options{Seed: f.seed, Length: f.length, Queue: f.queue, Plain: f.plain}
+	if f.queue == 0 {
+		options.Queue = -1
+	}
+	var runs []run
+	for _, size := range scene.Sizes() {
+		for _, s := range scene.All() {
+			for _, p := range scene.Policies() {
+				if matches(f.size, size.Name) && matches(f.scene, s.Name) && matches(f.policy, p) {
+					runs = append(runs, run{scene: s, size: size, policy: p, options: options})
+				}
+			}
+		}
+	}
+	if len(runs) == 0 {
+		return nil, &noSceneError{name: f.size + " " + f.scene + " " + f.policy}
+	}
+	return runs, nil
+}
+
+// matches tells whether a flag selects name; an empty flag selects all.
+func matches(flag, name string) bool { return flag == "" || flag == name }
+
+// runAll makes the runs, several at once, and returns their results in order.
+func runAll(runs []run) ([]scene.Result, error) {
+	results := make([]scene.Result, len(runs))
+	errs := make([]error, len(runs))
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range max(runtime.GOMAXPROCS(0)/2, 1) {
+		group.Go(func() {
+			for i := range next {
+				r := runs[i]
+				results[i], errs[i] = r.scene.Run(r.size, r.policy, r.options)
+			}
+		})
+	}
+	for i := range runs {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
+
+// printResults prints one line for each result.
+func printResults(out io.Writer, results []scene.Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "size\tscene\tpolicy\tp50 ms\tp99 ms\tp99.9 ms\tgood/s\tsuccess %\t"+
+		"refused\tunknown\tretries\tprobes\toverload\tblind\texcess\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.0f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%d\t%d\t\n",
+			r.Size, r.Scene, r.Policy, milliseconds(r.P50), milliseconds(r.P99), milliseconds(r.P999),
+			r.Good, 100*r.Success, r.Refused, r.Unknown, r.Retries, r.Probes, r.Overload, r.Blind, r.Excess)
+	}
+	return w.Flush()
+}
+
+// milliseconds returns d in milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/core/pick/probing.go
+++ b/core/pick/probing.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// pool is the largest number of reports that Probing compares.
-	pool = 16
+	// drawn is the number of candidates that Probing compares.
+	drawn = 3
 	// fresh is the age from which Probing leaves a report aside.
 	fresh = time.Second
 	// hot is the share of the reports from which a load counts as hot.
@@ -21,17 +21,17 @@
 // NewProbing returns a Probing.
 func NewProbing() *Probing { return &Probing{} }
 
-// Pick returns the best candidate with a fresh report, or a random one if there
-// is none.
+// Pick returns the best of three random candidates with a fresh report, or a
+// random one if there is none.
 func (p *Probing) Pick(now time.Time, random uint64, candidates []Candidate) (int, bool) {
 	n := len(candidates)
 	if n == 0 {
 		return 0, false
 	}
 	start := below(uint32(random), n)
+	draws := [drawn]int{start, below(uint32(random>>16), n), below(uint32(random>>32), n)}
 	best, bestHot := -1, false
-	for k := range min(n, pool) {
-		i := (start + k) % n
+	for _, i := range draws {
 		if now.Sub(candidates[i].Reported) > fresh {
 			continue
 		}
--- /dev/null
+++ b/core/scene/scene_test.go
@@ -0,0 +1,67 @@
+package scene_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/scene"
+)
+
+// short is the length of a run in tests.
+const short = 200 * time.Millisecond
+
+// retryBound is the largest number of retries: the share of the requests, and
+// the reserve of each of 13 entries.
+func retryBound(r scene.Result) float64 {
+	const reserve = 13 * 10
+	return 0.1 + reserve/float64(r.Offered)
+}
+
+func ExampleScene_Run() {
+	s := scene.Scene{Name: "calm", Load: 0.2}
+	r, err := s.Run(scene.Sizes()[0], "aware", scene.Options{Seed: 1, Length: time.Second})
+	fmt.Println(r.Success, r.Unknown, err)
+	// Output: 1 0 <nil>
+}
+
+func TestRunUnknownPolicy(t *testing.T) {
+	c := qt.New(t)
+	_, err := scene.All()[0].Run(scene.Sizes()[0], "nothing", scene.Options{})
+	var unknown *scene.PolicyError
+	c.Assert(errors.As(err, &unknown), qt.IsTrue)
+}
+
+func TestRunIsRepeatable(t *testing.T) {
+	c := qt.New(t)
+	o := scene.Options{Seed: 7, Length: short}
+	all := scene.All()
+	s := all[len(all)-1]
+	first, err := s.Run(scene.Sizes()[0], "aware", o)
+	c.Assert(err, qt.IsNil)
+	second, err := s.Run(scene.Sizes()[0], "aware", o)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second, qt.DeepEquals, first)
+}
+
+// TestInvariants runs every scene with two policies: each request ends once, the
+// retries stay within their budget and no guard starts more than a cold backend
+// server bears.
+func TestInvariants(t *testing.T) {
+	for _, s := range scene.All() {
+		for _, p := range []string{"aware", "robin"} {
+			t.Run(s.Name+"/"+p, func(t *testing.T) {
+				c := qt.New(t)
+				r, err := s.Run(scene.Sizes()[0], p, scene.Options{Seed: 1, Length: short})
+				c.Assert(err, qt.IsNil)
+				good := int(r.Success*float64(r.Offered) + 0.5)
+				c.Assert(good+r.Refused+r.Unknown, qt.Equals, r.Offered)
+				c.Assert(r.Retries <= retryBound(r), qt.IsTrue, qt.Commentf("retries %v", r.Retries))
+				c.Assert(r.Excess, qt.Equals, 0)
+			})
+		}
+	}
+}
