--- a/cmd/main.go
+++ b/cmd/main.go
@@ -36,6 +36,7 @@
 	registerNode,
 	registerStand,
 	registerVersion,
+	registerMeasure,
 }
 
 // Main runs the command that args name and returns its exit status.
