--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"bulrushlock/io/gate"
 	"bulrushlock/io/link"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/meter"
 	"bulrushlock/io/oper"
 	"bulrushlock/io/plat"
 	"bulrushlock/io/serve"
@@ -151,9 +152,10 @@
 		OmitCardinalityMetrics: true,
 	}, reportTime)
 	d.metrics = closer
+	m := meter.New(scope, "control")
 	self := ticket.Node{Instance: s.Instance, Incarnation: rand.Uint64()}
 	d.carrier = carry.New(carry.Options{
-		Platform: plat.NewHTTP(s.Platform, &http.Client{}),
+		Platform: plat.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{DialContext: m.Dialer(&net.Dialer{})}}),
 		Looker:   serve.NewHTTP(s.Server, &http.Client{}),
 		Peers:    s.Peers,
 		Finished: func() { d.once.Do(func() { close(d.finished) }) },
@@ -173,12 +175,13 @@
 		Scope:    scope,
 		Carry:    d.carrier.Do,
 	})
-	d.serve(l, self, scope, reporter.HTTPHandler())
+	l.control = m.Listener(l.control)
+	w := wire.New(d.loop, self, m.Dialer(&net.Dialer{}))
+	d.serve(l, w, self, scope, reporter.HTTPHandler())
 }
 
 // serve starts to serve the listeners.
-func (d *Daemon) serve(l listeners, self ticket.Node, scope tally.Scope, metrics http.Handler) {
-	w := wire.New(d.loop, self)
+func (d *Daemon) serve(l listeners, w *wire.Wire, self ticket.Node, scope tally.Scope, metrics http.Handler) {
 	d.link = link.New(d.loop)
 	g := gate.New(d.loop, gate.Options{Node: self, Server: d.settings.Server, Transport: serverTransport()})
 	f := front.New(d.loop, front.Options{Local: g, Remote: d.link, Asker: w, Scope: scope})
--- /dev/null
+++ b/io/daemon/daemon_test.go
@@ -0,0 +1,145 @@
+package daemon_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/fleet"
+	"bulrushlock/io/conf"
+	"bulrushlock/io/daemon"
+	"bulrushlock/io/stand"
+)
+
+const testRules = `
+service lookup slots=100 conns=250 cold=100 warm=1 queue=5ms shed=yes  # Sunita, lookup desk: rate tables
+route GET /lines/* service=lookup idempotent=yes time=2s rank=3  # Sunita, lookup desk: lookups
+route POST /claims service=lookup idempotent=no time=2s rank=1  # Sunita, lookup desk: claims
+budget probe=5 look=2 retry=10% hedge=0%  # operations: bounds
+`
+
+// free returns an address on loopback that nothing listens on.
+func free(c *qt.C) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// startFleet starts count nodes with a backend server and a platform, and
+// returns the addresses of their callers' listeners.
+func startFleet(c *qt.C, count int, server func(name string) http.Handler) []netip.AddrPort {
+	platform := stand.NewPlatform()
+	published := httptest.NewServer(platform)
+	c.Cleanup(published.Close)
+	var settings []*conf.Settings
+	var instances []fleet.Instance
+	for i := range count {
+		name := fmt.Sprintf("lookup-%d", i+1)
+		backend := httptest.NewServer(server(name))
+		c.Cleanup(backend.Close)
+		s := &conf.Settings{
+			Instance: name, Centre: "north", Service: "lookup",
+			Callers: free(c), Nodes: free(c), Control: free(c), Operators: free(c),
+			Server:   netip.MustParseAddrPort(backend.Listener.Addr().String()),
+			Platform: netip.MustParseAddrPort(published.Listener.Addr().String()),
+			Isolated: conf.Serve,
+		}
+		settings = append(settings, s)
+		instances = append(instances, fleet.Instance{
+			Name: name, Centre: s.Centre, Service: s.Service, Nodes: s.Nodes, Control: s.Control,
+		})
+	}
+	platform.Publish(testRules)
+	platform.List(instances)
+	callers := make([]netip.AddrPort, count)
+	for i, s := range settings {
+		d, err := daemon.New(s, slog.New(slog.DiscardHandler))
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() {
+			d.Leave()
+			d.Wait()
+		})
+		callers[i] = s.Callers
+		awaitReady(c, s.Operators)
+	}
+	return callers
+}
+
+// awaitReady waits until the node of the given operators' listener is ready.
+func awaitReady(c *qt.C, operators netip.AddrPort) {
+	for range 1000 {
+		a, err := http.Get("http://" + operators.String() + "/ready")
+		if err == nil {
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatal("node is not ready")
+}
+
+func TestServesAndLeaves(t *testing.T) {
+	c := qt.New(t)
+	callers := startFleet(c, 2, func(name string) http.Handler {
+		return stand.NewServer(stand.ServerOptions{Name: name, Slots: 100})
+	})
+	tests := []struct {
+		name, method, path, outcome string
+		status                      int
+	}{
+		{"lookup", http.MethodGet, "/lines/7", "run", http.StatusOK},
+		{"claim", http.MethodPost, "/claims", "run", http.StatusOK},
+		{"unknown route", http.MethodGet, "/nothing", "not-run", http.StatusNotFound},
+	}
+	for _, tt := range tests {
+		c.Run(tt.name, func(c *qt.C) {
+			r, err := http.NewRequest(tt.method, "http://"+callers[0].String()+tt.path, http.NoBody)
+			c.Assert(err, qt.IsNil)
+			a, err := http.DefaultClient.Do(r)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = a.Body.Close() }()
+			c.Assert(a.StatusCode, qt.Equals, tt.status)
+			c.Assert(a.Header.Get("Bulrushlock-Outcome"), qt.Equals, tt.outcome)
+		})
+	}
+}
+
+// BenchmarkPath compares a direct call with a call through the node beside the
+// caller, whose requests go to its own backend server or to another node.
+func BenchmarkPath(b *testing.B) {
+	c := qt.New(b)
+	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole")
+	})
+	direct := httptest.NewServer(answer)
+	defer direct.Close()
+	beside := startFleet(c, 1, func(string) http.Handler { return answer })
+	targets := []struct{ name, address string }{
+		{"direct", direct.Listener.Addr().String()},
+		{"beside", beside[0].String()},
+	}
+	for _, tt := range targets {
+		b.Run(tt.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+			for b.Loop() {
+				a, err := client.Get("http://" + tt.address + "/lines/7")
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+			}
+		})
+	}
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	w := wire.New(l, ticket.Node{Instance: "ledger-1", Incarnation: life})
+//	w := wire.New(l, ticket.Node{Instance: "ledger-1", Incarnation: life}, dial)
 //	go w.Serve(listener)
 //	verdict, answer := w.Ask(ctx, peer, t, true)
 package wire
@@ -22,6 +22,7 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/meter"
 )
 
 // callTime is the longest time of one call, from dialling to the answer.
@@ -32,6 +33,7 @@
 	loop *loop.Loop
 	self ticket.Node
 	rpc  *rpc.Server
+	dial meter.DialFunc
 }
 
 // CallError is a call that got no answer in time.
@@ -47,9 +49,9 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
 
-// New returns the calls of the node self.
-func New(l *loop.Loop, self ticket.Node) *Wire {
-	w := &Wire{loop: l, self: self, rpc: rpc.NewServer()}
+// New returns the calls of the node self, whose connections are made by dial.
+func New(l *loop.Loop, self ticket.Node, dial meter.DialFunc) *Wire {
+	w := &Wire{loop: l, self: self, rpc: rpc.NewServer(), dial: dial}
 	if err := w.rpc.RegisterName("Node", &answerer{wire: w}); err != nil {
 		panic(err)
 	}
@@ -57,14 +59,21 @@
 }
 
 // Serve answers the calls that come in on l until l is closed.
-func (w *Wire) Serve(l net.Listener) { w.rpc.Accept(l) }
+func (w *Wire) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go w.rpc.ServeConn(c)
+	}
+}
 
 // call makes one call on a connection of its own.
 func (w *Wire) call(ctx context.Context, peer netip.AddrPort, method string, question, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", peer.String())
+	c, err := w.dial(ctx, "tcp", peer.String())
 	if err != nil {
 		return &CallError{Method: method, Peer: peer, Cause: err}
 	}
