--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -29,6 +29,10 @@
 	last *ticket.Ticket
 	// recovers tells that the caller asks after an earlier attempt.
 	recovers bool
+	// unsure tells that an attempt of an idempotent request may have run.
+	unsure bool
+	// cleared tells that the owner of the key has said that no sending of it ran.
+	cleared  bool
 	active   []ticket.Ticket
 	tried    []string
 	attempts int
@@ -36,6 +40,15 @@
 	asks     int
 }
 
+// isKeyed reports whether c must go to the owner of its key.
+func (c *call) isKeyed() bool { return c.key != "" && !c.route.Idempotent }
+
+// mayHaveRun reports whether c may have run although its last attempt did not:
+// by an earlier attempt, or by an earlier sending of its key.
+func (c *call) mayHaveRun() bool {
+	return c.unsure || c.isKeyed() && !c.first && !c.cleared
+}
+
 // hasTried reports whether an attempt of c went to the instance of the given name.
 func (c *call) hasTried(name string) bool {
 	for _, t := range c.tried {
@@ -105,7 +118,9 @@
 	return effect.ReasonDeadline
 }
 
-// recover asks the guard of an earlier attempt what became of it.
+// recover asks the guard of an earlier attempt what became of it. Even if that
+// attempt did not run, the entry that made it may have made another one since, of
+// which the caller has no ticket yet: only the entry of an attempt acts on a refusal.
 func (n *Entry) recover(c *call, t *ticket.Ticket, out []effect.Effect) []effect.Effect {
 	c.last = t
 	c.recovers = true
@@ -181,7 +196,7 @@
 		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
 	}
 	c.asks++
-	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: true, Wait: wait})
+	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: !c.recovers, Wait: wait})
 }
 
 // cancelAll gives up the attempts of c whose exchange has not ended.
