fix(core/gossip): go on with work while an ageing view is checked

Cause: at an age of 15 s a node held all new work for up to half a second, so a platform outage would have stalled the whole fleet once. Ruled out: no check at all, as a node alone must know that it is. Change: peers are asked from an age of 10 s on beside the work; only a pause holds new work. Only watchers and the slow poll ask the platform, so its calls do not grow with the fleet during an outage.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -313,8 +313,12 @@
 // Tick starts the reads and exchanges that are due.
 func (g *Gossip) Tick(e event.Tick, paused bool, out []effect.Effect) (Change, []effect.Effect) {
 	var change Change
-	if paused || g.Age(e.At) > trustTime {
-		change.Trust, out = g.check(e.At, e.Random, paused, out)
+	switch {
+	case paused:
+		change.Trust = true
+		out = g.check(e.At, e.Random, out)
+	case g.Age(e.At) > doubtTime:
+		change.Trust, out = g.doubt(e.At, e.Random, out)
 	}
 	if g.trust.expire(e.At) {
 		change.Trust = true
--- a/core/gossip/trust.go
+++ b/core/gossip/trust.go
@@ -10,6 +10,8 @@
 const (
 	// trustTime is the age up to which a view is trusted without being checked.
 	trustTime = 15 * time.Second
+	// doubtTime is the age from which peers are asked whether a view is the newest.
+	doubtTime = 10 * time.Second
 	// checkTime is the longest time that new work waits for a check of the view.
 	checkTime = 500 * time.Millisecond
 	// recheckTime is the time between two checks of a view that nobody confirms.
@@ -73,22 +75,30 @@
 	return true
 }
 
-// check asks the platform and a few peers whether the view is the newest.
-func (g *Gossip) check(at time.Time, random uint64, paused bool, out []effect.Effect) (bool, []effect.Effect) {
+// check asks the platform and a few peers whether the view is the newest. New
+// work waits for the answers.
+func (g *Gossip) check(at time.Time, random uint64, out []effect.Effect) []effect.Effect {
+	g.trust.degree = Checking
+	g.trust.since = at
+	before := len(out)
+	g.reads[event.Rules].pending = true
+	out = append(out, effect.Fetch{Document: event.Rules, After: g.rules.Version().Revision})
+	out = g.tell(at, random, checks, out)
+	g.trust.pending = len(out) - before
+	return out
+}
+
+// doubt asks a few peers, beside the work that goes on, whether a view that is
+// no longer young is the newest. A view past trustTime is no longer trusted.
+func (g *Gossip) doubt(at time.Time, random uint64, out []effect.Effect) (bool, []effect.Effect) {
 	t := &g.trust
-	if !paused && t.degree != Fresh && at.Sub(t.since) < recheckTime {
+	if t.degree == Checking || at.Sub(t.since) < recheckTime {
 		return false, out
 	}
-	changed := t.degree == Fresh || paused
+	t.since = at
+	changed := t.degree == Fresh && g.Age(at) > trustTime
 	if changed {
-		t.degree = Checking
+		t.degree = Alone
 	}
-	t.since = at
-	before := len(out)
-	g.reads[event.Rules].pending = false
-	out = append(out, effect.Fetch{Document: event.Rules, After: g.rules.Version().Revision})
-	g.reads[event.Rules].pending = true
-	out = g.tell(at, random, checks, out)
-	t.pending = len(out) - before
-	return changed, out
+	return changed, g.tell(at, random, checks, out)
 }
