fix(io/wire): end the listener for control calls without a log line

rpc.Server.Accept writes to the standard logger when its listener is closed, which a node does each time it leaves. Logs go through slog and only for a change of state. An own loop accepts and ends in silence.

Checked: the demo prints no such line; go vet, linter.

--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -57,7 +57,15 @@
 }
 
 // Serve answers the calls that come in on l until l is closed.
-func (w *Wire) Serve(l net.Listener) { w.rpc.Accept(l) }
+func (w *Wire) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go w.rpc.ServeConn(c)
+	}
+}
 
 // call makes one call on a connection of its own.
 func (w *Wire) call(ctx context.Context, peer netip.AddrPort, method string, question, answer any) error {
