feat(io/daemon): tell the addresses that a node really has

A node whose ports the system chooses could not be listed by whoever started it in the same process. Closing a probe listener and taking its port was ruled out: another process can take the port meanwhile.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return &failedError{cause: err}
 	}
-	if _, err := fmt.Fprintf(s.out, "serving callers on %v\n", settings.Callers); err != nil {
+	if _, err := fmt.Fprintf(s.out, "serving callers on %v\n", d.Settings().Callers); err != nil {
 		return &failedError{cause: err}
 	}
 	leave := make(chan os.Signal, 1)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -90,6 +90,24 @@
 	callers, nodes, control, operators net.Listener
 }
 
+// settings returns a copy of s with the addresses that the listeners really have.
+func (l listeners) settings(s *conf.Settings) *conf.Settings {
+	c := *s
+	c.Callers = addressOf(l.callers)
+	c.Nodes = addressOf(l.nodes)
+	c.Control = addressOf(l.control)
+	c.Operators = addressOf(l.operators)
+	return &c
+}
+
+// addressOf returns the address of a TCP listener.
+func addressOf(l net.Listener) netip.AddrPort {
+	if a, ok := l.Addr().(*net.TCPAddr); ok {
+		return a.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
 // New starts a node. It fails with a *ListenError.
 func New(s *conf.Settings, logger *slog.Logger) (*Daemon, error) {
 	l, err := listen(s)
@@ -97,7 +115,7 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s,
+		settings: l.settings(s),
 		logger:   logger.With("instance", s.Instance, "centre", s.Centre),
 		control:  l.control,
 		finished: make(chan struct{}),
@@ -211,6 +229,10 @@
 	}
 }
 
+// Settings returns the settings of the node. A port that the system chose stands
+// in place of port 0.
+func (d *Daemon) Settings() conf.Settings { return *d.settings }
+
 // Leave makes the node refuse new work, finish what is under way, and end.
 func (d *Daemon) Leave() {
 	d.loop.Do(event.Leave{At: time.Now()})
