feat(cmd): add the command demo

Newcomers need one command that shows the system at work. It runs 13 nodes, 13 backend servers and a platform in one process, sends lookups, claims and exports, takes a data centre out and back, stops a node during an export, and checks each request against what the backend servers recorded.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -32,6 +32,7 @@
 // commands lists the functions that register the commands, in help order.
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
+	registerDemo,
 	registerNode,
 	registerStand,
 	registerVersion,
--- /dev/null
+++ b/io/demo/rules.go
@@ -0,0 +1,61 @@
+package demo
+
+// rulesText describes the services and routes of the deployment.
+const rulesText = `service ledger slots=10 conns=250 cold=2 warm=40 queue=5ms    # Operations: ten workers each
+service filing slots=10 conns=250 cold=2 warm=40 queue=20ms   # Operations: a claim waits rather than fails
+service audit slots=10 conns=250 cold=1 warm=10 queue=50ms    # Operations: an export that starts cold is slow
+
+route GET /lines/* service=ledger idempotent=yes time=2s rank=3    # Project officers: look up budget lines
+route POST /claims service=filing idempotent=no time=5s rank=1     # Donor liaison: a claim posted twice doubles a charge
+route GET /exports/* service=audit idempotent=yes time=30s rank=2  # Auditors: pull whole ledgers before a review
+
+budget probe=5 look=2 retry=10% hedge=2%   # Operations: keep the cost of measuring and retrying small
+`
+
+// outText takes the data centre patan out of service.
+const outText = `out centre=patan   # Operations: the power of the data centre is switched over
+`
+
+// outCentre is the data centre that the demo takes out and brings back.
+const outCentre = "patan"
+
+// post is an instance of the deployment.
+type post struct {
+	name    string
+	centre  string
+	service string
+}
+
+// posts are the instances of the deployment: services of 6, 4 and 3 backend
+// servers in three data centres.
+var posts = []post{
+	{"ledger-patan-1", outCentre, "ledger"},
+	{"ledger-patan-2", outCentre, "ledger"},
+	{"ledger-kirtipur-1", "kirtipur", "ledger"},
+	{"ledger-kirtipur-2", "kirtipur", "ledger"},
+	{"ledger-bhaktapur-1", "bhaktapur", "ledger"},
+	{"ledger-bhaktapur-2", "bhaktapur", "ledger"},
+	{"filing-patan-1", outCentre, "filing"},
+	{"filing-patan-2", outCentre, "filing"},
+	{"filing-kirtipur-1", "kirtipur", "filing"},
+	{"filing-bhaktapur-1", "bhaktapur", "filing"},
+	{"audit-patan-1", outCentre, "audit"},
+	{"audit-kirtipur-1", "kirtipur", "audit"},
+	{"audit-bhaktapur-1", "bhaktapur", "audit"},
+}
+
+// coldStart tells how a backend server behaves in its cold start.
+type coldStart struct {
+	// slots is the number of requests that it runs at once.
+	slots int
+	// warm is the number of completed requests that end the cold start.
+	warm int
+}
+
+// coldStarts are the cold starts of the backend servers of each service. They end
+// before the rules let a guard admit more than slots requests at once.
+var coldStarts = map[string]coldStart{
+	"ledger": {slots: 2, warm: 5},
+	"filing": {slots: 2, warm: 5},
+	"audit":  {slots: 1, warm: 2},
+}
