--- a/cmd/main.go
+++ b/cmd/main.go
@@ -33,9 +33,11 @@
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
 	registerDemo,
+	registerLoad,
 	registerNode,
 	registerStand,
 	registerVersion,
+	registerMeasure,
 }
 
 // Main runs the command that args name and returns its exit status.
