fix(core/gossip): read the platform no oftener than the poll of a node allows

Cause: ending a read made the next one due at once, so each node that does not watch read both documents at every tick; and two of the three watch keys could fall on one instance. Ruled out: the watchers themselves, whose calls are held for two seconds. Change: a read no longer resets the time of the next one; watchers are distinct; the command trial measures idle fleets.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -36,6 +36,7 @@
 	registerLoad,
 	registerNode,
 	registerStand,
+	registerTrial,
 	registerVersion,
 	registerMeasure,
 }
--- /dev/null
+++ b/cmd/trial.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bulrushlock/io/trial"
+)
+
+// registerTrial adds the command that measures what idle nodes spend on control.
+func registerTrial(a *kingpin.Application, s streams) {
+	c := a.Command("trial", "Run fleets of idle nodes in this process and measure what a node spends on control.")
+	sizes := c.Flag("nodes", "The number of nodes; give it once for each size.").Default("13").Ints()
+	length := c.Flag("time", "The length of the measurement of each size.").Default("10s").Duration()
+	changes := c.Flag("changes", "The number of changes of the rules that are timed.").Default("3").Int()
+	c.Action(func(*kingpin.ParseContext) error {
+		for i, n := range *sizes {
+			o := trial.Options{Nodes: n, Time: *length, Changes: *changes}
+			if err := runTrial(o, i == 0, s); err != nil {
+				return &failedError{cause: err}
+			}
+		}
+		return nil
+	})
+}
+
+// runTrial measures one size and prints a line for it.
+func runTrial(o trial.Options, first bool, s streams) error {
+	r, err := trial.New(o).Run(context.Background())
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	if first {
+		_, _ = fmt.Fprintf(&b, "%6s %9s %10s %10s %12s %10s %13s  %s\n",
+			"nodes", "settled", "core/node", "MB/node", "received B/s", "sent B/s", "platform 1/s", "changes in force")
+	}
+	_, _ = fmt.Fprintf(&b, "%6d %9v %9.3f%% %10.2f %12.0f %10.0f %13.1f  ",
+		r.Nodes, r.Settled.Round(time.Millisecond), 100*r.Processor, r.Memory/1e6, r.Received, r.Sent, r.Calls)
+	for _, d := range r.Changes {
+		_, _ = fmt.Fprintf(&b, "%v ", d.Round(time.Millisecond))
+	}
+	_, err = fmt.Fprintln(s.out, strings.TrimSpace(b.String()))
+	return err
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -15,6 +15,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -138,7 +139,7 @@
 
 // Read takes over a document that was read.
 func (g *Gossip) Read(e event.Read, random uint64, out []effect.Effect) (Change, []effect.Effect) {
-	g.done(e.Document, e.From, e.At)
+	g.done(e.Document, e.From)
 	verdict, err := g.offer(e)
 	if err != nil {
 		return Change{}, append(out, effect.Note{Kind: effect.KindInvalid, Text: invalidText(e, err)})
@@ -207,6 +208,7 @@
 		if !ok || name == instance {
 			return true
 		}
+		near = slices.DeleteFunc(near, func(other string) bool { return other == name })
 	}
 	return false
 }
@@ -267,7 +269,7 @@
 
 // Unchanged takes over that a source holds nothing newer.
 func (g *Gossip) Unchanged(e event.Unchanged, out []effect.Effect) (Change, []effect.Effect) {
-	g.done(e.Document, e.From, e.At)
+	g.done(e.Document, e.From)
 	return g.confirmed(e.At, e.Document, e.From, out)
 }
 
@@ -286,8 +288,8 @@
 
 // Unread takes over that a read has failed.
 func (g *Gossip) Unread(e event.Unread, random uint64) Change {
-	g.done(e.Document, e.From, e.At)
-	if e.From.Peer == "" {
+	g.done(e.Document, e.From)
+	if e.From.Peer == "" && (g.watches || g.version(e.Document).Revision == 0) {
 		g.reads[e.Document].next = e.At.Add(spread(retryTime, random))
 	}
 	return Change{Trust: g.trust.fail()}
@@ -296,13 +298,11 @@
 // Silent takes over that a peer could not be reached.
 func (g *Gossip) Silent() Change { return Change{Trust: g.trust.fail()} }
 
-// done ends a read of the platform and sets the time of the next one.
-func (g *Gossip) done(d event.Document, from event.Source, at time.Time) {
-	if from.Peer != "" {
-		return
+// done ends a read of the platform.
+func (g *Gossip) done(d event.Document, from event.Source) {
+	if from.Peer == "" {
+		g.reads[d].pending = false
 	}
-	g.reads[d].pending = false
-	g.reads[d].next = at
 }
 
 // spread returns a time between half of d and one and a half of d.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -62,6 +62,7 @@
 	logger   *slog.Logger
 	loop     *loop.Loop
 	carrier  *carry.Carrier
+	meter    *meter.Meter
 	link     *link.Link
 	control  net.Listener
 	servers  []*http.Server
@@ -171,6 +172,7 @@
 	}, reportTime)
 	d.metrics = closer
 	m := meter.New(scope, "control")
+	d.meter = m
 	self := ticket.Node{Instance: s.Instance, Incarnation: rand.Uint64()}
 	d.carrier = carry.New(carry.Options{
 		Platform: plat.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{DialContext: m.Dialer(&net.Dialer{})}}),
@@ -236,6 +238,15 @@
 // in place of port 0.
 func (d *Daemon) Settings() conf.Settings { return *d.settings }
 
+// Versions returns the versions of the documents that the node holds.
+func (d *Daemon) Versions() event.Versions {
+	_, v := d.loop.Load()
+	return v
+}
+
+// Traffic returns the bytes of control traffic that the node has received and sent.
+func (d *Daemon) Traffic() (received, sent int64) { return d.meter.Total() }
+
 // Leave makes the node refuse new work, finish what is under way, and end.
 func (d *Daemon) Leave() {
 	d.loop.Do(event.Leave{At: time.Now()})
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -10,14 +10,27 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
 )
 
 // Meter counts bytes into the counters NAME_received and NAME_sent.
 type Meter struct {
-	received tally.Counter
-	sent     tally.Counter
+	received total
+	sent     total
+}
+
+// total is a counter that can also be read.
+type total struct {
+	counter tally.Counter
+	bytes   atomic.Int64
+}
+
+// add adds n bytes.
+func (t *total) add(n int) {
+	t.counter.Inc(int64(n))
+	t.bytes.Add(int64(n))
 }
 
 // DialFunc makes a connection.
@@ -25,9 +38,15 @@
 
 // New returns a meter with counters of the given name.
 func New(s tally.Scope, name string) *Meter {
-	return &Meter{received: s.Counter(name + "_received"), sent: s.Counter(name + "_sent")}
+	m := &Meter{}
+	m.received.counter = s.Counter(name + "_received")
+	m.sent.counter = s.Counter(name + "_sent")
+	return m
 }
 
+// Total returns the bytes that were received and sent so far.
+func (m *Meter) Total() (received, sent int64) { return m.received.bytes.Load(), m.sent.bytes.Load() }
+
 // Dialer returns a function that makes connections by d and counts their bytes.
 func (m *Meter) Dialer(d *net.Dialer) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -66,13 +85,13 @@
 // Read counts what it reads.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.meter.received.Inc(int64(n))
+	c.meter.received.add(n)
 	return n, err
 }
 
 // Write counts what it writes.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.meter.sent.Inc(int64(n))
+	c.meter.sent.add(n)
 	return n, err
 }
