feat(core/node): derive the members of the service once for each list

Cause: each attempt looked through the whole list of 820 instances for its own one, and a key through all members. Change: both are derived when a list or rules are taken; a benchmark takes requests and attempts through the reducer at 820 instances and 39 services.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -63,6 +63,10 @@
 	probed   *bucket.Bucket
 	last     time.Time
 	left     time.Time
+	// listed tells that the list of instances says that this one is leaving.
+	listed bool
+	// members are the instances that may own keys of the service of this node.
+	members  []string
 	out      bool
 	finished bool
 }
@@ -205,7 +209,7 @@
 	if e.Key == "" {
 		return gate
 	}
-	name, ok := owner.Of(e.Key, n.identity.Service, n.members())
+	name, ok := owner.Of(e.Key, n.identity.Service, n.members)
 	gate.Owner = ok && name == n.identity.Instance
 	if max(n.gossip.FleetAge(e.At), n.gossip.Age(e.At)) >= n.identity.Lag {
 		return gate
@@ -223,7 +227,7 @@
 		return effect.ReasonRules
 	case s.IsOut(n.identity.Instance, n.identity.Centre):
 		return effect.ReasonOut
-	case n.listedLeaving():
+	case n.listed:
 		return effect.ReasonLeaving
 	case n.identity.Refuse && n.gossip.Trust() == gossip.Alone:
 		return effect.ReasonOld
@@ -231,33 +235,6 @@
 	return ""
 }
 
-// listedLeaving reports whether the list says that this instance is leaving.
-func (n *Node) listedLeaving() bool {
-	instances, _ := n.gossip.Fleet()
-	for i := range instances {
-		if instances[i].Name == n.identity.Instance {
-			return instances[i].Leaving
-		}
-	}
-	return false
-}
-
-// members returns the instances that may own keys of the service of this node.
-func (n *Node) members() []string {
-	s, ok := n.gossip.Rules()
-	if !ok {
-		return nil
-	}
-	instances, _ := n.gossip.Fleet()
-	var names []string
-	for _, i := range instances {
-		if i.Service == n.identity.Service && !i.Leaving && !s.IsOut(i.Name, i.Centre) {
-			names = append(names, i.Name)
-		}
-	}
-	return names
-}
-
 // Status is what operators see of a node.
 type Status struct {
 	Identity Identity
--- /dev/null
+++ b/core/node/node_bench_test.go
@@ -0,0 +1,96 @@
+package node_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/report"
+)
+
+// largeFleet returns the list of 820 instances in 39 services and the rules for them.
+func largeFleet(b *testing.B) (list, text string) {
+	var instances []fleet.Instance
+	var rules strings.Builder
+	for i := range 820 {
+		instances = append(instances, fleet.Instance{
+			Name:    fmt.Sprintf("n%d", i),
+			Centre:  fmt.Sprintf("c%d", i%5),
+			Service: fmt.Sprintf("s%d", i%39),
+			Nodes:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
+			Control: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 2),
+		})
+	}
+	for i := range 39 {
+		_, _ = fmt.Fprintf(&rules, "service s%d slots=20 cold=20 warm=1 # Asha: bench\n", i)
+		_, _ = fmt.Fprintf(&rules, "route GET /s%d/* service=s%d idempotent=yes # Asha: bench\n", i, i)
+		_, _ = fmt.Fprintf(&rules, "route POST /s%d/* service=s%d idempotent=no # Asha: bench\n", i, i)
+	}
+	list, err := fleet.Format(instances)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return list, rules.String()
+}
+
+// newLarge returns a node that knows the large fleet.
+func newLarge(b *testing.B, now time.Time) *node.Node {
+	list, text := largeFleet(b)
+	n := node.New(node.Identity{Instance: "n0", Incarnation: 1, Centre: "c0", Service: "s0"}, pick.NewAware())
+	n.Start(event.Tick{At: now}, nil)
+	n.Step(event.Read{At: now, Document: event.Rules, Text: text, Revision: 1}, nil)
+	n.Step(event.Read{At: now, Document: event.Fleet, Text: list, Revision: 1}, nil)
+	return n
+}
+
+// BenchmarkEntry takes a request and its answer through the entry: three steps.
+func BenchmarkEntry(b *testing.B) {
+	now := time.Unix(1000, 0)
+	n := newLarge(b, now)
+	random := rand.New(rand.NewPCG(1, 2))
+	load := &report.Load{InFlight: 3, Limit: 20}
+	var out []effect.Effect
+	b.ReportAllocs()
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		out = n.Step(event.Request{At: now, ID: id, Method: "GET", Path: "/s7/x", Random: random.Uint64()}, out[:0])
+		f, ok := out[len(out)-1].(effect.Forward)
+		if !ok {
+			b.Fatalf("%#v", out)
+		}
+		out = n.Step(event.Answered{
+			At: now, ID: id, Ticket: f.Ticket, Verdict: event.Ran, Guard: f.Ticket.Guard, Load: load, Status: 200,
+		}, out[:0])
+		out = n.Step(event.Gone{At: now, ID: id}, out[:0])
+	}
+}
+
+// BenchmarkGuard takes a non-idempotent attempt through the guard: two steps.
+func BenchmarkGuard(b *testing.B) {
+	now := time.Unix(1000, 0)
+	n := newLarge(b, now)
+	var out []effect.Effect
+	b.ReportAllocs()
+	e := event.Attempt{At: now, Rank: 1, Left: time.Second}
+	e.Ticket.Entry.Instance, e.Ticket.Entry.Incarnation = "n1", 5
+	e.Ticket.Guard.Instance, e.Ticket.Guard.Incarnation = "n0", 1
+	e.Ticket.Service = "s0"
+	for b.Loop() {
+		e.Arrival++
+		e.Ticket.Sequence++
+		out = n.Step(e, out[:0])
+		if _, ok := out[len(out)-1].(effect.Admit); !ok {
+			b.Fatalf("%#v", out)
+		}
+		out = n.Step(event.Served{At: now, Arrival: e.Arrival, Status: 200, Spent: time.Millisecond}, out[:0])
+	}
+}
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -5,8 +5,10 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
 	"bulrushlock/core/gossip"
 	"bulrushlock/core/guard"
+	"bulrushlock/core/rules"
 	"bulrushlock/core/view"
 )
 
@@ -43,7 +45,7 @@
 		n.settled.Forget()
 	}
 	n.observed = v
-	members := n.members()
+	members := n.members
 	n.settled.Observe(at, members)
 	n.recent.Observe(at, members)
 }
@@ -83,6 +85,7 @@
 	}
 	instances, _ := n.gossip.Fleet()
 	n.entry.Apply(s, instances)
+	n.applyFleet(s, instances)
 	if change.Rules {
 		n.looks.SetRate(float64(s.Budget.Look), 1)
 		n.probes.SetRate(float64(s.Budget.Probe), 1)
@@ -92,6 +95,21 @@
 	return n.noticeOut(out)
 }
 
+// applyFleet derives from the list what the guard has to know of its own
+// instance and of those that share its service.
+func (n *Node) applyFleet(s *rules.Set, instances []fleet.Instance) {
+	n.listed = false
+	n.members = nil
+	for _, i := range instances {
+		if i.Name == n.identity.Instance {
+			n.listed = i.Leaving
+		}
+		if i.Service == n.identity.Service && !i.Leaving && !s.IsOut(i.Name, i.Centre) {
+			n.members = append(n.members, i.Name)
+		}
+	}
+}
+
 // noticeOut refuses waiting work when this node is taken out, and notes the change.
 func (n *Node) noticeOut(out []effect.Effect) []effect.Effect {
 	reason := n.closed()
