fix(core/gossip): fetch a version once, and from a node that the list does not have yet

Cause: each of the peers that told of a new version was asked for its text, so a change cost several times its size; and a node whose list lagged ignored a replaced node that knew more. Ruled out: a lost read of the platform; the trace shows none pending. Change: a version is asked of one peer at a time; a peer tells its address with its versions. Checked: TestAVersionIsFetchedOnce, TestAPeerThatIsNotListedIsAskedAtItsAddress.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -9,6 +9,7 @@
 package event
 
 import (
+	"net/netip"
 	"time"
 
 	"bulrushlock/core/view"
@@ -102,8 +103,10 @@
 
 // Told tells the versions that a peer holds.
 type Told struct {
-	At       time.Time
-	Peer     string
+	At   time.Time
+	Peer string
+	// Control is the address at which the peer answers calls, or the zero value where it is not told.
+	Control  netip.AddrPort
 	Versions Versions
 }
 
--- /dev/null
+++ b/core/gossip/fetch_test.go
@@ -0,0 +1,51 @@
+package gossip_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/gossip"
+	"bulrushlock/core/view"
+)
+
+func TestAVersionIsFetchedOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	g := gossip.New("i0", "north")
+	read(g, now, event.Rules, 1, ruleText)
+	read(g, now, event.Fleet, 1, listText(c, 4))
+	newer := event.Versions{Rules: view.Version{Revision: 2, Digest: 7}, Fleet: g.Versions(now).Fleet}
+	tell := func(at time.Time, peer string) int {
+		_, out := g.Told(event.Told{At: at, Peer: peer, Versions: newer}, nil)
+		fetches := 0
+		for _, e := range out {
+			if _, ok := e.(effect.Fetch); ok {
+				fetches++
+			}
+		}
+		return fetches
+	}
+	c.Assert(tell(now, "i1"), qt.Equals, 1)
+	c.Assert(tell(now, "i2"), qt.Equals, 0)
+	g.Unread(event.Unread{At: now, Document: event.Rules, From: event.Source{Peer: "i1"}}, 0)
+	c.Assert(tell(now, "i3"), qt.Equals, 1)
+	c.Assert(tell(now.Add(time.Second), "i2"), qt.Equals, 1)
+}
+
+func TestAPeerThatIsNotListedIsAskedAtItsAddress(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	g := gossip.New("i0", "north")
+	read(g, now, event.Rules, 1, ruleText)
+	read(g, now, event.Fleet, 1, listText(c, 4))
+	newer := event.Versions{Rules: view.Version{Revision: 2, Digest: 7}, Fleet: g.Versions(now).Fleet}
+	control := netip.MustParseAddrPort("10.0.0.9:2")
+	_, out := g.Told(event.Told{At: now, Peer: "new", Control: control, Versions: newer}, nil)
+	c.Assert(out, qt.HasLen, 1)
+	c.Assert(out[0].(effect.Fetch).Peer.Control, qt.Equals, control)
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -41,6 +41,8 @@
 	pushes = 4
 	// checks is the number of peers that are asked whether a view is still the newest.
 	checks = 3
+	// fetchTime is the time for which a version is not asked of a second peer.
+	fetchTime = 500 * time.Millisecond
 	// documents is the number of published documents.
 	documents = 2
 )
@@ -70,6 +72,9 @@
 type reading struct {
 	pending bool
 	next    time.Time
+	// wanted is the version that a peer was asked for at the time asked.
+	wanted view.Version
+	asked  time.Time
 }
 
 // New returns the empty views of the node of the given instance.
@@ -232,12 +237,12 @@
 
 // Told takes over the versions of a peer.
 func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
-	p := g.other(e.Peer)
-	if p != nil && g.fleet.Wants(e.Versions.Fleet) {
-		out = append(out, effect.Fetch{Document: event.Fleet, Peer: p, After: g.fleet.Version().Revision})
+	p := g.teller(e)
+	if g.fleet.Wants(e.Versions.Fleet) {
+		out = g.fetchFrom(e.At, event.Fleet, p, e.Versions.Fleet, out)
 	}
-	if p != nil && g.rules.Wants(e.Versions.Rules) {
-		return Change{}, append(out, effect.Fetch{Document: event.Rules, Peer: p, After: g.rules.Version().Revision})
+	if g.rules.Wants(e.Versions.Rules) {
+		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
 	}
 	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime {
 		return Change{Trust: g.trust.fail()}, out
@@ -246,6 +251,16 @@
 	return Change{Trust: g.trust.confirm()}, out
 }
 
+// teller returns the peer that told its versions. One that is not yet listed is
+// known by the address that it told; the result is nil where it told none.
+func (g *Gossip) teller(e event.Told) *fleet.Instance {
+	p := g.other(e.Peer)
+	if p == nil && e.Control.IsValid() {
+		return &fleet.Instance{Name: e.Peer, Control: e.Control}
+	}
+	return p
+}
+
 // other returns the listed peer of the given name, or nil.
 func (g *Gossip) other(name string) *fleet.Instance {
 	for i := range g.others {
@@ -260,13 +275,24 @@
 // Behind reports whether v is newer than the rules of this node.
 func (g *Gossip) Behind(v view.Version) bool { return g.rules.Wants(v) }
 
-// CatchUp asks the peer that holds v for its rules.
-func (g *Gossip) CatchUp(name string, out []effect.Effect) []effect.Effect {
-	p := g.other(name)
+// CatchUp asks the peer that holds the version v of the rules for them.
+func (g *Gossip) CatchUp(at time.Time, name string, v view.Version, out []effect.Effect) []effect.Effect {
+	return g.fetchFrom(at, event.Rules, g.other(name), v, out)
+}
+
+// fetchFrom asks a peer for the version v of a document, unless another peer
+// was asked for it, or for a newer one, a moment ago. Where p is nil the platform
+// is asked.
+func (g *Gossip) fetchFrom(at time.Time, d event.Document, p *fleet.Instance, v view.Version, out []effect.Effect) []effect.Effect {
 	if p == nil {
-		return g.fetch(event.Rules, out)
+		return g.fetch(d, out)
 	}
-	return append(out, effect.Fetch{Document: event.Rules, Peer: p, After: g.rules.Version().Revision})
+	r := &g.reads[d]
+	if r.wanted.Compare(v) >= 0 && at.Sub(r.asked) < fetchTime {
+		return out
+	}
+	r.wanted, r.asked = v, at
+	return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
 }
 
 // Unchanged takes over that a source holds nothing newer.
@@ -298,11 +324,13 @@
 // Silent takes over that a peer could not be reached.
 func (g *Gossip) Silent() Change { return Change{Trust: g.trust.fail()} }
 
-// done ends a read of the platform.
+// done ends a read of the platform or of a peer.
 func (g *Gossip) done(d event.Document, from event.Source) {
 	if from.Peer == "" {
 		g.reads[d].pending = false
+		return
 	}
+	g.reads[d].wanted = view.Version{}
 }
 
 // delay lets the next read of a document wait after one that gave nothing to
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -197,7 +197,7 @@
 // attempt takes an attempt that has arrived at the guard.
 func (n *Node) attempt(e event.Attempt, out []effect.Effect) []effect.Effect {
 	if n.gossip.Behind(e.Rules) {
-		out = n.gossip.CatchUp(e.Ticket.Entry.Instance, out)
+		out = n.gossip.CatchUp(e.At, e.Ticket.Entry.Instance, e.Rules, out)
 	}
 	return n.guard.Attempt(e, n.gate(e), out)
 }
--- a/core/proof/carry_test.go
+++ b/core/proof/carry_test.go
@@ -353,10 +353,10 @@
 		return
 	}
 	w.post(&message{from: p, to: g, lose: lose, run: func() {
-		w.step(g, event.Told{At: w.now, Peer: p.node.Instance, Versions: e.Versions})
+		w.step(g, event.Told{At: w.now, Peer: p.node.Instance, Control: p.instance.Control, Versions: e.Versions})
 		v := g.reducer.Versions(w.now)
 		w.post(&message{from: g, to: p, lose: lose, run: func() {
-			w.step(p, event.Told{At: w.now, Peer: g.node.Instance, Versions: v})
+			w.step(p, event.Told{At: w.now, Peer: g.node.Instance, Control: g.instance.Control, Versions: v})
 		}})
 	}})
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -144,7 +144,7 @@
 		c.loop.Do(event.Silent{At: time.Now(), Peer: e.Peer.Name})
 		return
 	}
-	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Versions: a.Versions})
+	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Control: e.Peer.Control, Versions: a.Versions})
 }
 
 // bootstrap reads both documents from a node that the settings name.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -196,7 +196,7 @@
 		Carry:    d.carrier.Do,
 	})
 	l.control = m.Listener(l.control)
-	w := wire.New(d.loop, self, m.Dialer(&net.Dialer{}))
+	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(&net.Dialer{}))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
 }
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -16,6 +16,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
 	"bulrushlock/core/report"
 	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
@@ -159,18 +160,18 @@
 	}
 	if v, err := xchg.ParseVersions(r.Header.Get(xchg.HeaderVersions)); err == nil {
 		a.Versions = v
-		l.compare(a)
+		l.compare(a, o.Peer)
 	}
 	return a, nil
 }
 
 // compare tells the reducer of versions that differ from those of this node.
-func (l *Link) compare(a xchg.Answer) {
+func (l *Link) compare(a xchg.Answer, peer fleet.Instance) {
 	_, own := l.loop.Load()
 	if same(own.Rules, a.Versions.Rules) && same(own.Fleet, a.Versions.Fleet) {
 		return
 	}
-	l.loop.Do(event.Told{At: time.Now(), Peer: a.Guard.Instance, Versions: a.Versions})
+	l.loop.Do(event.Told{At: time.Now(), Peer: a.Guard.Instance, Control: peer.Control, Versions: a.Versions})
 }
 
 // same reports whether two versions are equal.
--- a/io/wire/answer.go
+++ b/io/wire/answer.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"net/netip"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -33,7 +34,9 @@
 
 // TellQuestion tells the versions that the caller holds.
 type TellQuestion struct {
-	From     ticket.Node
+	From ticket.Node
+	// Control is the address at which the caller answers calls.
+	Control  netip.AddrPort
 	Versions event.Versions
 	Stamp    string
 }
@@ -104,7 +107,7 @@
 	w := a.wire
 	w.loop.Merge(q.Stamp)
 	now := time.Now()
-	w.loop.Do(event.Told{At: now, Peer: q.From.Instance, Versions: q.Versions})
+	w.loop.Do(event.Told{At: now, Peer: q.From.Instance, Control: q.Control, Versions: q.Versions})
 	r.From = w.self
 	_, r.Versions = w.loop.Load()
 	r.Stamp = w.loop.Stamp()
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	w := wire.New(l, ticket.Node{Instance: "ledger-1", Incarnation: life}, dial)
+//	w := wire.New(l, ticket.Node{Instance: "ledger-1", Incarnation: life}, control, dial)
 //	go w.Serve(listener)
 //	verdict, answer := w.Ask(ctx, peer, t, true)
 package wire
@@ -34,6 +34,8 @@
 	self ticket.Node
 	rpc  *rpc.Server
 	dial meter.DialFunc
+	// control is the address at which other nodes reach this one.
+	control netip.AddrPort
 }
 
 // CallError is a call that got no answer in time.
@@ -49,9 +51,10 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
 
-// New returns the calls of the node self, whose connections are made by dial.
-func New(l *loop.Loop, self ticket.Node, dial meter.DialFunc) *Wire {
-	w := &Wire{loop: l, self: self, rpc: rpc.NewServer(), dial: dial}
+// New returns the calls of the node self, which answers at control and whose
+// connections are made by dial.
+func New(l *loop.Loop, self ticket.Node, control netip.AddrPort, dial meter.DialFunc) *Wire {
+	w := &Wire{loop: l, self: self, rpc: rpc.NewServer(), dial: dial, control: control}
 	if err := w.rpc.RegisterName("Node", &answerer{wire: w}); err != nil {
 		panic(err)
 	}
@@ -121,7 +124,7 @@
 // Tell exchanges versions with the node at peer and returns what it holds.
 func (w *Wire) Tell(ctx context.Context, peer netip.AddrPort, v event.Versions) (TellAnswer, error) {
 	var a TellAnswer
-	err := w.call(ctx, peer, "Tell", TellQuestion{From: w.self, Versions: v, Stamp: w.loop.Stamp()}, &a)
+	err := w.call(ctx, peer, "Tell", TellQuestion{From: w.self, Control: w.control, Versions: v, Stamp: w.loop.Stamp()}, &a)
 	if err == nil {
 		w.loop.Merge(a.Stamp)
 	}
