--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -205,7 +205,11 @@
 			near = append(near, i.Name)
 		}
 	}
+	watched := g.watches
 	g.watches = watcher(g.instance, near)
+	if g.watches && !watched {
+		g.reads = [documents]reading{{pending: g.reads[0].pending}, {pending: g.reads[1].pending}}
+	}
 }
 
 // watcher reports whether the instance is one of the watchers among near.
@@ -282,12 +286,15 @@
 
 // fetchFrom asks a peer for the version v of a document, unless another peer
 // was asked for it, or for a newer one, a moment ago. Where p is nil the platform
-// is asked.
+// is read soon.
 func (g *Gossip) fetchFrom(at time.Time, d event.Document, p *fleet.Instance, v view.Version, out []effect.Effect) []effect.Effect {
+	r := &g.reads[d]
 	if p == nil {
-		return g.fetch(d, out)
+		if soon := at.Add(retryTime); r.next.After(soon) {
+			r.next = soon
+		}
+		return out
 	}
-	r := &g.reads[d]
 	if r.wanted.Compare(v) >= 0 && at.Sub(r.asked) < fetchTime {
 		return out
 	}
