test: serve lookups, claims and exports through separate processes

Cause: nothing showed the path from a caller to a backend server with each part a process of its own. Ruled out: one process with embedded parts, as signals and broken connections need real processes. Before: no process test.

--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,227 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/fleet"
+	"bulrushlock/io/oper"
+	"bulrushlock/io/stand"
+)
+
+// rules are the rules that a fleet starts with.
+const rules = `
+service ledger slots=10 cold=10 warm=1 queue=50ms   # Test: lookups
+service filing slots=10 cold=10 warm=1 queue=50ms   # Test: claims and exports
+route GET /lines/* service=ledger idempotent=yes time=5s   # Test: lookup
+route GET /claims/* service=filing idempotent=yes time=5s   # Test: lookup beside the claims
+route POST /claims service=filing idempotent=no time=8s body=100KB   # Test: claim
+route GET /exports/* service=filing idempotent=yes time=8s   # Test: export
+budget probe=5 look=5 retry=100% hedge=0%   # Test: retries are not what is tested
+`
+
+// place tells what stands where in a fleet. The first instance is alone in its
+// service, so an entry there has to send claims to another instance.
+var place = []struct{ name, centre, service string }{
+	{"desk-1", "north", "ledger"},
+	{"desk-2", "south", "filing"},
+	{"desk-3", "east", "filing"},
+}
+
+// instance is one instance: a node and its backend server.
+type instance struct {
+	name, service, settings            string
+	callers, nodes, control, operators netip.AddrPort
+	server                             netip.AddrPort
+	node, backend                      *process
+}
+
+// options change how a fleet starts.
+type options struct {
+	// peers makes the settings name the control listeners of all instances.
+	peers bool
+	// drain is the text of the setting of that name.
+	drain string
+}
+
+// system is a platform with three instances, each part a process of its own.
+type system struct {
+	c         *qt.C
+	folder    string
+	address   netip.AddrPort
+	platform  *process
+	instances []*instance
+}
+
+// newSystem starts a fleet and waits until every node is ready.
+func newSystem(t *testing.T, o options) *system {
+	t.Parallel()
+	s := &system{c: qt.New(t), folder: t.TempDir()}
+	ports := freePorts(s.c, 1+5*len(place))
+	s.address = ports[0]
+	for i, p := range place {
+		q := ports[1+5*i:]
+		s.instances = append(s.instances, &instance{
+			name: p.name, service: p.service, settings: filepath.Join(s.folder, p.name+".yaml"),
+			callers: q[0], nodes: q[1], control: q[2], operators: q[3], server: q[4],
+		})
+		s.write(i, o)
+	}
+	s.startPlatform(rules)
+	for i := range s.instances {
+		s.startServer(i)
+		s.startNode(i)
+	}
+	for i := range s.instances {
+		s.ready(i)
+	}
+	return s
+}
+
+// freePorts returns n addresses on which nothing listens.
+func freePorts(c *qt.C, n int) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = l.Close() }()
+		addresses[i] = netip.MustParseAddrPort(l.Addr().String())
+	}
+	return addresses
+}
+
+// write writes the settings of instance i.
+func (s *system) write(i int, o options) {
+	n := s.instances[i]
+	drain := o.drain
+	if drain == "" {
+		drain = "0s"
+	}
+	text := fmt.Sprintf("instance: %s\ncentre: %s\nservice: %s\ncallers: %v\nnodes: %v\ncontrol: %v\n"+
+		"operators: %v\nserver: %v\nplatform: %v\ndrain: %s\n",
+		n.name, place[i].centre, n.service, n.callers, n.nodes, n.control, n.operators, n.server, s.address, drain)
+	if o.peers {
+		text += "peers:\n"
+		for _, p := range s.instances[:i] {
+			text += fmt.Sprintf("  - %v\n", p.control)
+		}
+	}
+	s.c.Assert(os.WriteFile(n.settings, []byte(text), 0o600), qt.IsNil)
+}
+
+// startPlatform starts a platform that publishes text and the list of instances.
+func (s *system) startPlatform(text string) {
+	list := make([]fleet.Instance, len(s.instances))
+	for i, n := range s.instances {
+		list[i] = fleet.Instance{Name: n.name, Centre: place[i].centre, Service: n.service, Nodes: n.nodes, Control: n.control}
+	}
+	listed, err := fleet.Format(list)
+	s.c.Assert(err, qt.IsNil)
+	rulesFile, listFile := filepath.Join(s.folder, "rules"), filepath.Join(s.folder, "instances")
+	s.c.Assert(os.WriteFile(rulesFile, []byte(text), 0o600), qt.IsNil)
+	s.c.Assert(os.WriteFile(listFile, []byte(listed), 0o600), qt.IsNil)
+	s.platform = start(s.c, "stand", "platform", "--listen", s.address.String(), "--rules", rulesFile, "--instances", listFile)
+	s.listening(s.platform)
+}
+
+// startServer starts the backend server of instance i.
+func (s *system) startServer(i int) {
+	n := s.instances[i]
+	n.backend = start(s.c, "stand", "server", "--listen", n.server.String(), "--name", n.name, "--service-time", "1ms")
+	s.listening(n.backend)
+}
+
+// listening waits until a stand-in listens.
+func (s *system) listening(p *process) {
+	until(s.c, "stand-in listens", func() bool { return strings.Contains(p.output.String(), "listening") })
+}
+
+// startNode starts the node of instance i.
+func (s *system) startNode(i int) {
+	s.instances[i].node = start(s.c, "node", "--settings", s.instances[i].settings)
+}
+
+// ready waits until the node of instance i is ready and knows the list of instances.
+func (s *system) ready(i int) {
+	s.c.Helper()
+	until(s.c, s.instances[i].name+" is ready", func() bool {
+		r, err := http.Get("http://" + s.instances[i].operators.String() + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = r.Body.Close()
+		status, err := s.status(i)
+		return err == nil && r.StatusCode == http.StatusOK && status.Fleet > 0
+	})
+}
+
+// status reads the status of the node of instance i.
+func (s *system) status(i int) (oper.Status, error) {
+	var status oper.Status
+	return status, get(s.instances[i].operators, "/status", &status)
+}
+
+// get reads the JSON answer to a GET request.
+func get(a netip.AddrPort, path string, into any) error {
+	r, err := http.Get("http://" + a.String() + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	return json.NewDecoder(r.Body).Decode(into)
+}
+
+// post sends a control request to a stand-in.
+func (s *system) post(a netip.AddrPort, path, body string) {
+	s.c.Helper()
+	r, err := http.Post("http://"+a.String()+path, "text/plain", strings.NewReader(body))
+	s.c.Assert(err, qt.IsNil)
+	_ = r.Body.Close()
+	s.c.Assert(r.StatusCode/100, qt.Equals, 2)
+}
+
+// runs returns how often the request with this identity ran at instance i.
+func (s *system) runs(i int, id string) int {
+	var counted struct{ Runs int }
+	s.c.Assert(get(s.instances[i].server, "/control/runs?id="+id, &counted), qt.IsNil)
+	return counted.Runs
+}
+
+// runsOf returns how often the request ran at the given instances, or at all.
+func (s *system) runsOf(id string, at ...int) int {
+	if at == nil {
+		at = []int{0, 1, 2}
+	}
+	total := 0
+	for _, i := range at {
+		total += s.runs(i, id)
+	}
+	return total
+}
+
+// stats returns the counts of the backend server of instance i.
+func (s *system) stats(i int) stand.Stats {
+	var counted stand.Stats
+	s.c.Assert(get(s.instances[i].server, "/control/stats", &counted), qt.IsNil)
+	return counted
+}
+
+// index returns the index of the instance of the given name.
+func (s *system) index(name string) int {
+	for i, n := range s.instances {
+		if n.name == name {
+			return i
+		}
+	}
+	s.c.Fatalf("no instance %q", name)
+	return -1
+}
