--- a/cmd/main.go
+++ b/cmd/main.go
@@ -32,9 +32,11 @@
 // commands lists the functions that register the commands, in help order.
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
+	registerLoad,
 	registerNode,
 	registerStand,
 	registerVersion,
+	registerMeasure,
 }
 
 // Main runs the command that args name and returns its exit status.
