--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -54,12 +54,14 @@
 type pending struct {
 	// early gets the ticket of each early answer.
 	early chan string
-	done  chan reply
+	// head is closed once the head of the final answer is there.
+	head chan struct{}
+	done chan reply
 }
 
 // begin sends r to the entry of instance i.
 func (s *system) begin(i int, r request) *pending {
-	p := &pending{early: make(chan string, 16), done: make(chan reply, 1)}
+	p := &pending{early: make(chan string, 16), head: make(chan struct{}), done: make(chan reply, 1)}
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 			p.early <- h.Get("Bulrushlock-Ticket")
@@ -75,18 +77,19 @@
 	for n, v := range r.header {
 		sent.Header.Set(n, v)
 	}
-	go func() { p.done <- receive(sent) }()
+	go func() { p.done <- receive(sent, p.head) }()
 	return p
 }
 
 // receive sends a request on a connection of its own and reads the whole answer.
-func receive(r *http.Request) reply {
+func receive(r *http.Request, head chan<- struct{}) reply {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Minute}
 	a, err := client.Do(r)
 	if err != nil {
 		return reply{err: err}
 	}
 	defer func() { _ = a.Body.Close() }()
+	close(head)
 	body, err := io.ReadAll(a.Body)
 	return reply{
 		status:  a.StatusCode,
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -87,14 +88,28 @@
 	return s
 }
 
-// freePorts returns n addresses on which nothing listens.
+// The ports of the listeners lie below those that the system gives to outgoing connections.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// nextPort counts the ports that this run of the tests has tried. Several runs
+// on one machine begin at different ones.
+var nextPort atomic.Uint32
+
+// freePorts returns n addresses on which nothing listens. No two calls return the same.
 func freePorts(c *qt.C, n int) []netip.AddrPort {
-	addresses := make([]netip.AddrPort, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		defer func() { _ = l.Close() }()
-		addresses[i] = netip.MustParseAddrPort(l.Addr().String())
+	addresses := make([]netip.AddrPort, 0, n)
+	for len(addresses) < n {
+		port := firstPort + (uint32(os.Getpid())*997+nextPort.Add(1))%(lastPort-firstPort)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		c.Assert(l.Close(), qt.IsNil)
+		addresses = append(addresses, a)
 	}
 	return addresses
 }
