fix(core): never call a claim not-run while its key may have run

Cause: an attempt that was refused because an earlier attempt of its key runs, or may have run, was left unseen by the ledger. The entry then asked after its ticket, the guard voided it, and the caller was told not-run although the claim was running under its key. Ruled out: letting the new ticket stand for the earlier attempt, which needs a second index in the ledger; the key itself already leads there. Change: the guard records such an attempt as one of unknown outcome, and the entry answers running with reason key at once. Conclusion: with a key, not-run is told by a ticket only of what did not run.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -38,7 +38,7 @@
 	case event.NotRun, event.Unsent:
 		return n.notRun(c, e, out)
 	case event.Running:
-		return n.ask(c, askPause, out)
+		return n.running(c, e, out)
 	case event.Unknown, event.Broken, event.Expired:
 	}
 	return n.broken(c, e, out)
@@ -115,6 +115,15 @@
 	return n.send(e.At, e.Random, c, p, out)
 }
 
+// running asks again after an attempt that the guard is still at. Where it is
+// another attempt of the same key that runs, only the key can be asked after.
+func (n *Entry) running(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	if effect.Reason(e.Reason) == effect.ReasonKey {
+		return n.reply(c, effect.Running, effect.ReasonKey, out)
+	}
+	return n.ask(c, askPause, out)
+}
+
 // broken goes on after an exchange that has left open whether the attempt ran.
 func (n *Entry) broken(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
 	if len(c.active) > 0 {
--- a/core/guard/keys.go
+++ b/core/guard/keys.go
@@ -5,6 +5,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/ledger"
 	"bulrushlock/core/ticket"
 )
 
@@ -68,10 +69,23 @@
 		if verdictOf(state) == event.NotRun {
 			return out, false
 		}
+		g.endUnknown(e)
+		if state == ledger.Running {
+			return deny(e, effect.Running, effect.ReasonKey, out), true
+		}
 		return judged(e, answer, state, kept, out)
 	}
 	if e.First || (gate.Settled && !e.At.Before(g.keys.blind)) {
 		return out, false
 	}
+	g.endUnknown(e)
 	return deny(e, effect.Unknown, effect.ReasonKey, out), true
 }
+
+// endUnknown records an attempt whose key may have run in an earlier attempt. Who
+// asks after its ticket is never told that it has not run, since that says
+// nothing of the request.
+func (g *Guard) endUnknown(e event.Attempt) {
+	g.ledger.Begin(e.Ticket, e.At)
+	g.ledger.Finish(e.Ticket, nil, e.At)
+}
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -99,6 +99,9 @@
 	case effect.NotRun:
 		return "the request did not run and will not; it is safe to send it again"
 	case effect.Running:
+		if e.Reason == effect.ReasonKey {
+			return "the request runs; send it again with its key for its answer"
+		}
 		return "the request runs; ask for its answer with the ticket"
 	case effect.Unknown, effect.Run:
 	}
