fix(core): send an idempotent request again instead of asking after it

Cause: a guard records no idempotent attempts, so a lookup that had run was voided when its caller came back with the ticket, and was called not-run. Ruled out: recording idempotent attempts, which costs memory for no promise. Change: the ticket of a request on an idempotent route is ignored. Before: TestLookupSentAgainWithItsTicketIsNeverNotRun failed with not-run. After: it passes. Conclusion: not-run is told only where a guard keeps a record.

--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -88,7 +88,8 @@
 	c.depth = limits
 	c.deadline = e.At.Add(limits.Left)
 	n.calls[c.id] = c
-	if e.Ticket != nil {
+	// A guard keeps no record of idempotent attempts, so these are sent once more.
+	if e.Ticket != nil && !r.Idempotent {
 		return n.recover(c, e.Ticket, out)
 	}
 	n.retries.Deposit()
