fix(io/gate): take no answer that came before its request

Cause: the transport of net/http offers a connection again before it has looked whether more has arrived on it. A backend server that sends an answer too many had that answer given to the next caller. Ruled out: a new connection for each request, which costs about 1 ms; looking only at the count of bytes read, which misses an answer that is half read. Change: io/turns lets a request have a connection only once the transport reads on from it, fails a read in the turn of an unwritten request, and looks for unread bytes before the first write. A failure with nothing written has a type of its own and counts as not run. The stand-in gets the fault extra. Not mended: an answer that arrives after the next request was written cannot be told from its answer by HTTP/1.1.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -40,6 +40,7 @@
 	"bulrushlock/io/oper"
 	"bulrushlock/io/plat"
 	"bulrushlock/io/serve"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/wire"
 )
 
@@ -205,13 +206,8 @@
 }
 
 // serverTransport returns the transport to the backend server.
-func serverTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: serverConnections,
-		IdleConnTimeout:     idleTime,
-	}
+func serverTransport() *turns.Transport {
+	return turns.New(&net.Dialer{Timeout: dialTime}, serverConnections, idleTime)
 }
 
 // Leave makes the node refuse new work, finish what is under way, and end.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
 
@@ -31,7 +32,7 @@
 	// Server is the address of the backend server beside the node.
 	Server netip.AddrPort
 	// Transport carries requests to the backend server.
-	Transport http.RoundTripper
+	Transport *turns.Transport
 }
 
 // Gate stands between all entries and one backend server.
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
 
@@ -71,13 +71,13 @@
 
 // failed answers an attempt whose exchange with the backend server gave no head.
 func (p *passage) failed(ctx context.Context, err error, spent time.Duration) xchg.Answer {
-	var dial *net.OpError
+	var unsent *turns.UnsentError
 	switch {
-	case errors.As(err, &dial) && dial.Op == "dial":
-		return p.refused(event.Refused, spent)
 	case ctx.Err() != nil && p.offer.Idempotent:
 		p.end(event.Served{Failure: event.Cancelled, Spent: spent})
 		return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonDeadline}
+	case errors.As(err, &unsent):
+		return p.refused(event.Refused, spent)
 	}
 	return p.refused(event.Reset, spent)
 }
--- a/io/stand/fault.go
+++ b/io/stand/fault.go
@@ -20,6 +20,7 @@
 	lost  bool
 	drain bool
 	lie   bool
+	extra bool
 	late  time.Duration
 	lag   time.Duration
 	// crashed is closed when the server crashes.
@@ -108,6 +109,11 @@
 	s.faults.change(func(f *fault) { f.lie = on })
 }
 
+// SetExtra sends a second answer, which nobody asked for, right after every answer.
+func (s *Server) SetExtra(on bool) {
+	s.faults.change(func(f *fault) { f.extra = on })
+}
+
 // SetLate holds every answer back by d after its request ran.
 func (s *Server) SetLate(d time.Duration) {
 	s.faults.change(func(f *fault) { f.late = d })
@@ -153,6 +159,7 @@
 		"lost":  s.SetLost,
 		"drain": s.SetDrain,
 		"lie":   s.SetLie,
+		"extra": s.SetExtra,
 	}
 	name := q.Get("fault")
 	if set, ok := switches[name]; ok {
--- a/io/stand/server.go
+++ b/io/stand/server.go
@@ -229,6 +229,10 @@
 	if f.half {
 		cut(w)
 	}
+	if f.extra {
+		s.answerTwice(w, e)
+		return
+	}
 	answerJSON(w, http.StatusOK, e)
 }
 
--- /dev/null
+++ b/io/turns/turns.go
@@ -0,0 +1,108 @@
+// Package turns carries HTTP requests to one server over kept connections, such
+// that no request is answered by what the server sent before the request.
+//
+// The transport of net/http offers a connection for the next request before it
+// has looked whether more has arrived on it. A server that sends an answer too
+// many could have that answer taken for the answer to the next request. Here a
+// request waits until its connection is known to be empty, and what arrives
+// before the request is written breaks the connection.
+//
+// # Usage
+//
+//	t := turns.New(&net.Dialer{Timeout: time.Second}, 128, time.Minute)
+//	a, err := t.RoundTrip(r)
+//	var unsent *turns.UnsentError
+//	if errors.As(err, &unsent) {
+//		return nil // the server has seen nothing of r
+//	}
+package turns
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Transport sends requests.
+type Transport struct {
+	inner *http.Transport
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// UnsentError is a request of which no byte was written to the server.
+type UnsentError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (e *UnsentError) Error() string { return fmt.Sprintf("request not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
+// New returns a transport that makes connections by d. It keeps up to idle
+// connections that are not used, each for up to keep.
+func New(d *net.Dialer, idle int, keep time.Duration) *Transport {
+	return &Transport{inner: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(c), nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     keep,
+	}}
+}
+
+// Close closes the connections that are not in use.
+func (t *Transport) Close() { t.inner.CloseIdleConnections() }
+
+// RoundTrip sends r and returns the head of its answer. It fails with an
+// *UnsentError where the server has seen nothing of r and never will.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var x exchange
+	trace := &httptrace.ClientTrace{GotConn: x.take}
+	a, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && x.abandon() {
+		return nil, &UnsentError{Cause: err}
+	}
+	return a, err
+}
+
+// exchange is one request on the connections that were chosen for it, of which
+// there are several where the first ones were closed before anything was written.
+type exchange struct {
+	mutex sync.Mutex
+	conns []*conn
+}
+
+// take gives the request its turn on a connection.
+func (x *exchange) take(i httptrace.GotConnInfo) {
+	c, ok := i.Conn.(*conn)
+	if !ok {
+		return
+	}
+	c.begin()
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.conns = append(x.conns, c)
+}
+
+// abandon gives up the request and reports whether nothing of it was or will be written.
+func (x *exchange) abandon() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	unsent := true
+	for _, c := range x.conns {
+		unsent = c.abandon() && unsent
+	}
+	return unsent
+}
