fix(io/gate): close the box of an attempt that is answered again

Cause: only refused attempts and streamed answers closed their box in the loop, so each answer that was given again left a box behind for the life of the node. Ruled out: closing the box in each way out of the exchange, which is what was forgotten. Change: every exchange without an open stream closes its box at one place. Before: TestAttemptThatArrivesAgainIsAnsweredAgain counted two boxes left. Conclusion: the loop holds no box of an ended exchange.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -72,6 +72,8 @@
 	a := p.decide(ctx)
 	if a.Body == nil {
 		a.Body = http.NoBody
+	}
+	if _, open := a.Body.(*stream); !open {
 		g.loop.Close(arrival)
 	}
 	a.Guard = g.options.Node
--- /dev/null
+++ b/io/gate/gate_test.go
@@ -0,0 +1,308 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/depth"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/turns"
+	"bulrushlock/io/xchg"
+)
+
+const testRules = `
+service filing slots=10 cold=10 warm=1 queue=0s   # Test: one service
+route POST /claims service=filing idempotent=no   # Test: one route
+`
+
+// self is the node of the gates that are tested.
+var self = ticket.Node{Instance: "filing-1", Incarnation: 7}
+
+// newLoop returns the loop of a node that has rules.
+func newLoop(c *qt.C) *loop.Loop {
+	n := node.New(node.Identity{
+		Instance: self.Instance, Incarnation: self.Incarnation, Centre: "north", Service: "filing",
+	}, pick.NewAware())
+	l := loop.New(n, loop.Options{
+		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {},
+	})
+	c.Cleanup(l.Stop)
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 1})
+	return l
+}
+
+// newGate returns a gate before the backend server at an address.
+func newGate(c *qt.C, address net.Addr) (*Gate, *loop.Loop) {
+	l := newLoop(c)
+	transport := turns.New(&net.Dialer{}, 8, time.Minute)
+	c.Cleanup(transport.Close)
+	return New(l, Options{Node: self, Server: netip.MustParseAddrPort(address.String()), Transport: transport}), l
+}
+
+// sequence numbers the attempts of all tests.
+var sequence atomic.Uint64
+
+// offer returns a new claim with the given body.
+func offer(body string) xchg.Offer {
+	return xchg.Offer{
+		Ticket: ticket.Ticket{
+			Entry: ticket.Node{Instance: "desk-1", Incarnation: 3}, Sequence: sequence.Add(1), Guard: self, Service: "filing",
+		},
+		Method: http.MethodPost,
+		Target: "/claims",
+		Header: http.Header{},
+		Body:   strings.NewReader(body),
+		Length: int64(len(body)),
+		Call:   depth.Call{Depth: 1, Left: 5 * time.Second},
+		Head:   5 * time.Second,
+	}
+}
+
+// exchange sends o and reads the whole answer.
+func exchange(c *qt.C, g *Gate, o xchg.Offer) (xchg.Answer, string, error) {
+	a, err := g.Exchange(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	return a, string(body), err
+}
+
+// raw is a backend server that answers each request by a function.
+type raw struct {
+	listener net.Listener
+	requests atomic.Int32
+}
+
+// newRaw starts a backend server that calls serve with each request and its connection.
+func newRaw(c *qt.C, serve func(n int, r *http.Request, conn net.Conn)) *raw {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	s := &raw{listener: l}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.handle(conn, serve)
+		}
+	}()
+	return s
+}
+
+// handle serves one connection until it is closed.
+func (s *raw) handle(conn net.Conn, serve func(int, *http.Request, net.Conn)) {
+	defer func() { _ = conn.Close() }()
+	b := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		serve(int(s.requests.Add(1)), r, conn)
+	}
+}
+
+// answerText returns a whole answer with the given body.
+func answerText(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func TestClaimIsNeverSentAgainOnAnotherConnection(t *testing.T) {
+	for _, body := range []string{"", "claim"} {
+		t.Run("body "+body, func(t *testing.T) {
+			c := qt.New(t)
+			s := newRaw(c, func(n int, _ *http.Request, conn net.Conn) {
+				if n == 1 {
+					_, _ = io.WriteString(conn, answerText("ok"))
+					return
+				}
+				_ = conn.Close()
+			})
+			g, _ := newGate(c, s.listener.Addr())
+			a, text, err := exchange(c, g, offer(body))
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.Outcome, qt.Equals, effect.Run)
+			c.Assert(text, qt.Equals, "ok")
+			o := offer(body)
+			o.Header = http.Header{"Idempotency-Key": {"k"}}
+			a, _, _ = exchange(c, g, o)
+			c.Check(a.Outcome, qt.Equals, effect.Unknown)
+			c.Check(s.requests.Load(), qt.Equals, int32(2))
+		})
+	}
+}
+
+func TestNotRunIsToldOnlyWhereNoConnectionWasMade(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Close(), qt.IsNil)
+	g, _ := newGate(c, l.Addr())
+	a, _, _ := exchange(c, g, offer("claim"))
+	c.Check(a.Outcome, qt.Equals, effect.NotRun)
+	c.Check(a.Reason, qt.Equals, effect.ReasonServer)
+}
+
+func TestAttemptForAnotherNodeIsRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*ticket.Ticket)
+		reason effect.Reason
+	}{
+		{"instance", func(t *ticket.Ticket) { t.Guard.Instance = "filing-2" }, effect.ReasonAddress},
+		{"service", func(t *ticket.Ticket) { t.Service = "ledger" }, effect.ReasonAddress},
+		{"life", func(t *ticket.Ticket) { t.Guard.Incarnation++ }, effect.ReasonLife},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+			g, _ := newGate(c, s.listener.Addr())
+			o := offer("claim")
+			tt.change(&o.Ticket)
+			a, _, _ := exchange(c, g, o)
+			c.Check(a.Outcome, qt.Equals, effect.NotRun)
+			c.Check(a.Reason, qt.Equals, tt.reason)
+			c.Check(s.requests.Load(), qt.Equals, int32(0))
+		})
+	}
+}
+
+func TestAttemptThatArrivesAgainIsAnsweredAgain(t *testing.T) {
+	c := qt.New(t)
+	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+	g, l := newGate(c, s.listener.Addr())
+	o := offer("claim")
+	for range 3 {
+		a, text, err := exchange(c, g, o)
+		c.Assert(err, qt.IsNil)
+		c.Check(a.Outcome, qt.Equals, effect.Run)
+		c.Check(text, qt.Equals, "ok")
+	}
+	c.Check(s.requests.Load(), qt.Equals, int32(1))
+	c.Check(l.Len(), qt.Equals, 0)
+}
+
+func TestAnswerWithoutAnEndIsNotTakenForWhole(t *testing.T) {
+	c := qt.New(t)
+	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nhalf")
+		_ = conn.Close()
+	})
+	g, _ := newGate(c, s.listener.Addr())
+	a, _, _ := exchange(c, g, offer("claim"))
+	c.Check(a.Outcome, qt.Equals, effect.Unknown)
+}
+
+func TestCutAnswerEndsWithAnError(t *testing.T) {
+	for _, length := range []int{10, keptBody + 10} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			c := qt.New(t)
+			s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nhalf", length)
+				_ = conn.Close()
+			})
+			g, l := newGate(c, s.listener.Addr())
+			_, _, err := exchange(c, g, offer("claim"))
+			c.Check(err, qt.IsNotNil)
+			c.Check(l.Len(), qt.Equals, 0)
+		})
+	}
+}
+
+// A caller whose body breaks off must not make the guard doubt its backend server.
+func TestBrokenRequestBodyDoesNotTurnTheGuardCold(t *testing.T) {
+	c := qt.New(t)
+	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+	g, l := newGate(c, s.listener.Addr())
+	_, _, err := exchange(c, g, offer("claim"))
+	c.Assert(err, qt.IsNil)
+	load, _ := l.Load()
+	c.Assert(load.Cold, qt.IsFalse)
+	o := offer("")
+	o.Body = io.MultiReader(strings.NewReader("half"), iotest.ErrReader(errors.New("caller has gone")))
+	o.Length = -1
+	a, _, _ := exchange(c, g, o)
+	c.Check(a.Outcome, qt.Equals, effect.Unknown)
+	load, _ = l.Load()
+	c.Check(load.Cold, qt.IsFalse)
+	c.Check(load.InFlight, qt.Equals, 0)
+}
+
+// A backend server that sends a second answer nobody asked for must not have it
+// taken for the answer to the next request on the connection.
+func TestUnsolicitedAnswerReachesNoCaller(t *testing.T) {
+	c := qt.New(t)
+	s := newRaw(c, func(_ int, r *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, answerText(r.Header.Get("Id"))+answerText("of another caller"))
+	})
+	g, _ := newGate(c, s.listener.Addr())
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			for j := range 200 {
+				id := fmt.Sprintf("%d-%d", i, j)
+				o := offer("claim")
+				o.Header = http.Header{"Id": {id}}
+				a, text, err := exchange(c, g, o)
+				if a.Outcome == effect.Run && err == nil && text != id {
+					t.Errorf("the answer to %s is %q", id, text)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func TestNodesListenerRefusesPlainRequests(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newGate(c, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1})
+	o := offer("claim")
+	good := map[string]string{
+		xchg.HeaderTicket:   o.Ticket.String(),
+		xchg.HeaderCall:     o.Call.String(),
+		xchg.HeaderVersions: xchg.VersionsText(o.Versions),
+		xchg.HeaderAttempt:  xchg.AttemptText(o),
+	}
+	for name := range good {
+		for _, value := range []string{"", "x"} {
+			if name == xchg.HeaderCall && value == "" {
+				continue
+			}
+			r := httptest.NewRequest(http.MethodPost, "/claims", bytes.NewReader(nil))
+			for n, v := range good {
+				r.Header.Set(n, v)
+			}
+			r.Header.Set(name, value)
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			c.Check(w.Code, qt.Equals, http.StatusBadRequest, qt.Commentf("%s: %q", name, value))
+		}
+	}
+}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -125,6 +125,13 @@
 	l.mutex.Unlock()
 }
 
+// Len returns the number of boxes that are open.
+func (l *Loop) Len() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.boxes)
+}
+
 // Do takes e into the reducer and hands out the effects.
 func (l *Loop) Do(e event.Event) {
 	l.mutex.Lock()
