fix(io/gate): blame no backend server for the broken body of a caller

Cause: a request body that broke off ended the exchange like a connection that the backend server had reset, and the guard began a cold start. Ruled out: reading the body before admission, which holds uploads in memory. Change: the gate notes that reading the body has failed, and ends the attempt as cancelled with outcome unknown. The time limit of a kept answer now covers its body, which is read before its head is sent on. Conclusion: callers cannot lower the limit of a guard by cutting uploads.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -56,7 +56,7 @@
 // The error is always nil: the guard of the same node can always be reached.
 func (g *Gate) Exchange(ctx context.Context, o xchg.Offer) (xchg.Answer, error) {
 	arrival, box := g.loop.Open()
-	p := &passage{gate: g, arrival: arrival, box: box, offer: o}
+	p := &passage{gate: g, arrival: arrival, box: box, offer: o, source: source{reader: o.Body}}
 	g.loop.Do(event.Attempt{
 		At:         time.Now(),
 		Ticket:     o.Ticket,
@@ -88,6 +88,7 @@
 	arrival uint64
 	box     <-chan effect.Effect
 	offer   xchg.Offer
+	source  source
 }
 
 // decide follows the decisions of the guard until there is an answer.
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -23,9 +24,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	overdue := time.AfterFunc(p.offer.Head, func() { cancel(context.DeadlineExceeded) })
+	// An answer that is kept is read whole before its head is sent on.
+	defer overdue.Stop()
 	began := time.Now()
 	r, err := p.gate.options.Transport.RoundTrip(p.request(ctx)) //nolint:bodyclose // The stream closes it.
-	overdue.Stop()
 	spent := time.Since(began)
 	if err != nil {
 		cancel(nil)
@@ -57,10 +59,29 @@
 	r.Header = make(http.Header, len(o.Header)+1)
 	xchg.CopyHeader(r.Header, o.Header)
 	r.Header.Set(xchg.HeaderCall, o.Call.NoRetry().String())
+	o.Body = &p.source
 	xchg.SetBody(r, o)
 	return r
 }
 
+// source is the body of a request, which notes whether reading it has failed.
+type source struct {
+	reader io.Reader
+	failed atomic.Bool
+}
+
+// Read reads the body.
+func (s *source) Read(b []byte) (int, error) {
+	if s.reader == nil {
+		return 0, io.EOF
+	}
+	n, err := s.reader.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failed.Store(true)
+	}
+	return n, err
+}
+
 // isFramed reports whether the end of the answer r can be told from a broken connection.
 func isFramed(r *http.Response) bool {
 	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
@@ -76,6 +97,9 @@
 	case ctx.Err() != nil && p.offer.Idempotent:
 		p.end(event.Served{Failure: event.Cancelled, Spent: spent})
 		return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonDeadline}
+	case p.source.failed.Load():
+		p.end(event.Served{Failure: event.Cancelled, Spent: spent})
+		return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonGone}
 	case errors.As(err, &unsent):
 		return p.refused(event.Refused, spent)
 	}
