fix(io/gate): answer unknown where a kept answer breaks off

Cause: a small answer to a claim that broke off was passed on as one that ran, so the caller got a broken connection and no ticket. Ruled out: passing on the half, which no caller can use. Change: an answer that is read before its head is sent on, and breaks off, is answered with outcome unknown; the body type for it is gone. Before: outcome run with a body that fails. After: outcome unknown.

--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -143,8 +143,7 @@
 	start, err := io.ReadAll(io.LimitReader(r.Body, keptBody+1))
 	if err != nil {
 		s.finish(event.Reset, nil)
-		a.Body = &broken{start: bytes.NewReader(start), cause: err}
-		return a
+		return xchg.Answer{Outcome: effect.Unknown, Reason: effect.ReasonBroken}
 	}
 	if len(start) > keptBody {
 		s.start = bytes.NewReader(start)
@@ -215,23 +214,5 @@
 	})
 }
 
-// broken is the body of an answer that broke off after start.
-type broken struct {
-	start io.Reader
-	cause error
-}
-
-// Read reads what came before the break, and then fails.
-func (b *broken) Read(p []byte) (int, error) {
-	n, err := b.start.Read(p)
-	if errors.Is(err, io.EOF) {
-		return n, b.cause
-	}
-	return n, err
-}
-
-// Close does nothing.
-func (b *broken) Close() error { return nil }
-
 // closeBody closes a body whose content is no longer wanted.
 func closeBody(b io.Closer) { _ = b.Close() }
