fix(io/front): close an answer that comes just after its cancel

Cause: an attempt that was cancelled while its answer arrived was forgotten before the answer was held, so nobody closed the body. Where the guard is the one of the same node, its slot stayed taken for ever. Ruled out: keeping cancelled attempts until the request ends, which holds the slot as long as the request. Change: an attempt remembers that it has ended and closes an answer that still comes. Before: TestAnswerThatComesAfterItsCancelIsClosed failed. After: it passes. Conclusion: a cancelled hedge frees its slot.

--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -29,7 +29,6 @@
 	recovered *event.Answer
 
 	mutex    sync.Mutex
-	closed   bool
 	attempts map[ticket.Ticket]*attempt
 }
 
@@ -37,6 +36,8 @@
 type attempt struct {
 	cancel context.CancelFunc
 	answer *xchg.Answer
+	// ended tells that an answer that still comes is not wanted.
+	ended bool
 }
 
 // newVisit returns the visit of r, which has a box of its own.
@@ -52,7 +53,6 @@
 	v.front.loop.Close(v.id)
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.closed = true
 	for _, a := range v.attempts {
 		a.end()
 	}
@@ -60,6 +60,7 @@
 
 // end gives up an exchange.
 func (a *attempt) end() {
+	a.ended = true
 	a.cancel()
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
@@ -193,7 +194,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	a.answer = &answer
-	if v.closed {
+	if a.ended {
 		a.end()
 	}
 }
