fix(io/front): refuse HTTP/1.0, where a cut answer looks whole

Cause: an answer of unknown length ends with its connection in HTTP/1.0, so a cut export looked whole, and such a caller was sent an early response that its protocol does not know. Ruled out: buffering whole exports to learn their length. Change: such a request is refused with status 505, outcome not-run and reason version. Before: the case 'old protocol' of TestBadRequestsAreRefusedAndDoNotRun got 200. After: it gets 505. Conclusion: every answer that is relayed has an end that can be told from a cut.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -63,14 +63,9 @@
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
-		writeProblem(w, problem{Status: http.StatusNotImplemented, Outcome: effect.NotRun.String(), Reason: "upgrade"})
-		return
-	}
-	e, err := requestOf(r)
-	if err != nil {
-		p := problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
-		writeProblem(w, p)
+	e, p := admit(r)
+	if p != nil {
+		writeProblem(w, *p)
 		return
 	}
 	v := newVisit(f, w, r)
@@ -86,3 +81,21 @@
 	f.outcomes[v.outcome].Inc(1)
 	f.spent.RecordDuration(time.Since(began))
 }
+
+// admit reads what the entry has to know of r, or returns the problem for which r is not served.
+func admit(r *http.Request) (event.Request, *problem) {
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return event.Request{}, &problem{Status: http.StatusNotImplemented, Outcome: effect.NotRun.String(), Reason: "upgrade"}
+	}
+	// The end of an answer of unknown length cannot be told from a cut in HTTP/1.0.
+	if !r.ProtoAtLeast(1, 1) {
+		p := &problem{Status: http.StatusHTTPVersionNotSupported, Outcome: effect.NotRun.String(), Reason: "version"}
+		return event.Request{}, p
+	}
+	e, err := requestOf(r)
+	if err != nil {
+		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
+		return event.Request{}, p
+	}
+	return e, nil
+}
