feat(cmd): add the commands status, timeline and explain

Operators had to read the JSON of each node by hand. status shows all nodes in one table and names those not reached; timeline merges their events by the stamps of the hybrid logical clock; explain shows the rule of a request, who asked for it, and the backend servers as a running node knows them (GET /peers).

A time line that only compares sequences misses events of a node that was started again, so it also carries the life of the node.

--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,189 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bulrushlock/core/rules"
+	"bulrushlock/io/oper"
+	"bulrushlock/io/reach"
+)
+
+// explainFlags are the arguments and flags of the command explain.
+type explainFlags struct {
+	method string
+	path   string
+	rules  string
+	node   netip.AddrPort
+	format string
+}
+
+// explainedRule is a rule with who asked for it.
+type explainedRule struct {
+	Line int    `json:"line"`
+	Rule string `json:"rule"`
+	Who  string `json:"who"`
+	Why  string `json:"why"`
+}
+
+// explainReport is all that the command explain prints.
+type explainReport struct {
+	Method  string        `json:"method"`
+	Path    string        `json:"path"`
+	Route   explainedRule `json:"route"`
+	Service explainedRule `json:"service"`
+	// Candidates is nil when no node was asked.
+	Candidates *oper.Peers `json:"candidates,omitempty"`
+}
+
+// explainUsageError is a set of flags that leaves nothing to read rules from.
+type explainUsageError struct{}
+
+// Error tells which flags are missing.
+func (*explainUsageError) Error() string { return "explain: give --rules, --node or both" }
+
+// noRouteError is a request that no rule matches.
+type noRouteError struct {
+	method string
+	path   string
+}
+
+// Error names the request and tells what a node answers.
+func (e *noRouteError) Error() string {
+	return fmt.Sprintf("explain: no rule matches %s %s, so a node answers not-run with reason route", e.method, e.path)
+}
+
+// registerExplain adds the command that tells how a request is served.
+func registerExplain(a *kingpin.Application, s streams) {
+	var f explainFlags
+	c := a.Command("explain", "Show the rule of a request, who asked for it and why, and the backend servers that a "+
+		"node may choose for it. The rules are read from the file, or else from the node. "+
+		"The exit status is 0 when a rule matches, 1 when none does or the node was not reached, "+
+		"and 2 for wrong flags or a bad file.\n\n"+
+		"Example: bulrushlock explain GET /lines/7 --rules rules.txt --node 10.10.1.11:8083")
+	c.Arg("method", "The method of the request, such as GET.").Required().StringVar(&f.method)
+	c.Arg("path", "The path of the request, such as /lines/7.").Required().StringVar(&f.path)
+	c.Flag("rules", "The file of rules.").PlaceHolder("FILE").StringVar(&f.rules)
+	c.Flag("node", "The operators' listener of a node.").PlaceHolder("IP:PORT").SetValue(addressValue{address: &f.node})
+	formatFlag(c, &f.format)
+	c.Action(func(*kingpin.ParseContext) error {
+		return runExplain(f, s)
+	})
+}
+
+// runExplain prints the rule of a request and the backend servers for it.
+func runExplain(f explainFlags, s streams) error {
+	ctx := context.Background()
+	node := reach.New(reachTime)
+	set, err := f.readRules(ctx, node)
+	if err != nil {
+		return err
+	}
+	r, err := explain(f, set)
+	if err != nil {
+		return err
+	}
+	if f.node.IsValid() {
+		path := "/peers?service=" + url.QueryEscape(r.name)
+		a := reach.One[oper.Peers](ctx, node, f.node, path)
+		if a.Err != nil {
+			return &failedError{cause: fmt.Errorf("explain: %w", a.Err)}
+		}
+		r.Candidates = &a.Value
+	}
+	show := writeExplain
+	if f.format == formatJSON {
+		show = func(w io.Writer, r explained) error { return printJSON(w, r.explainReport) }
+	}
+	if err := show(s.out, r); err != nil {
+		return &failedError{cause: err}
+	}
+	return nil
+}
+
+// readRules reads the rules from the file, or else from the node.
+func (f explainFlags) readRules(ctx context.Context, r *reach.Reach) (*rules.Set, error) {
+	if f.rules != "" {
+		text, err := os.ReadFile(f.rules)
+		if err != nil {
+			return nil, fmt.Errorf("explain: %w", err)
+		}
+		return rules.Parse(string(text))
+	}
+	if !f.node.IsValid() {
+		return nil, &explainUsageError{}
+	}
+	text, err := r.Text(ctx, f.node, "/rules")
+	if err != nil {
+		return nil, &failedError{cause: fmt.Errorf("explain: %w", err)}
+	}
+	set, err := rules.Parse(text)
+	if err != nil {
+		return nil, &failedError{cause: fmt.Errorf("explain: rules of %v: %w", f.node, err)}
+	}
+	return set, nil
+}
+
+// explained is a report with the name of its service.
+type explained struct {
+	explainReport
+	name string
+}
+
+// explain finds the rule of a request. It fails with a *noRouteError.
+func explain(f explainFlags, set *rules.Set) (explained, error) {
+	route, ok := set.Route(f.method, f.path)
+	if !ok {
+		return explained{}, &failedError{cause: &noRouteError{method: f.method, path: f.path}}
+	}
+	service, _ := set.Service(route.Service)
+	return explained{
+		explainReport: explainReport{
+			Method:  f.method,
+			Path:    f.path,
+			Route:   explainedOf(route.String(), route.Origin),
+			Service: explainedOf(service.String(), service.Origin),
+		},
+		name: route.Service,
+	}, nil
+}
+
+// explainedOf returns a rule with its origin.
+func explainedOf(rule string, o rules.Origin) explainedRule {
+	return explainedRule{Line: o.Line, Rule: rule, Who: o.Who, Why: o.Why}
+}
+
+// writeExplain writes a report as text for people.
+func writeExplain(w io.Writer, r explained) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "%s %s\n", r.Method, r.Path)
+	for _, rule := range []explainedRule{r.Route, r.Service} {
+		_, _ = fmt.Fprintf(t, "line %d\t%s\n\tasked for by %s: %s\n", rule.Line, rule.Rule, rule.Who, rule.Why)
+	}
+	if r.Candidates != nil {
+		_, _ = fmt.Fprintf(t, "backend servers as %s knows them\n", r.Candidates.Instance)
+		_, _ = fmt.Fprintln(t, "instance\tcentre\tstate\tbusy\tqueued\tlimit\tcold\toutstanding\tfailures\treport\tlatency")
+		for _, p := range r.Candidates.Peers {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%d\t%d\t%s\t%s\n",
+				p.Instance, p.Centre, p.State, p.Busy, p.Queued, p.Limit, yesNo(p.Cold),
+				p.Outstanding, p.Failures, reportText(p.Age), time.Duration(p.Latency)*time.Microsecond)
+		}
+	}
+	return t.Flush()
+}
+
+// reportText returns the age of a report that is given in milliseconds.
+func reportText(milliseconds int64) string {
+	if milliseconds < 0 {
+		return "none"
+	}
+	return (time.Duration(milliseconds) * time.Millisecond).String() + " old"
+}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -33,9 +33,12 @@
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
 	registerDemo,
+	registerExplain,
 	registerLoad,
 	registerNode,
 	registerStand,
+	registerStatus,
+	registerTimeline,
 	registerVersion,
 	registerMeasure,
 }
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,99 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bulrushlock/io/oper"
+	"bulrushlock/io/reach"
+)
+
+// neverAge is the age in milliseconds of rules that nobody has confirmed.
+const neverAge = math.MaxInt64 / int64(time.Millisecond)
+
+// statusFlags are the flags of the command status.
+type statusFlags struct {
+	nodes  []netip.AddrPort
+	format string
+}
+
+// unreached is a node that gave no answer, as JSON.
+type unreached struct {
+	Node    netip.AddrPort `json:"node"`
+	Problem string         `json:"problem"`
+}
+
+// statusReport is all that the command status prints.
+type statusReport struct {
+	Nodes     []oper.Status `json:"nodes"`
+	Unreached []unreached   `json:"unreached"`
+}
+
+// registerStatus adds the command that shows the state of nodes.
+func registerStatus(a *kingpin.Application, s streams) {
+	var f statusFlags
+	c := a.Command("status", "Show the state of nodes. "+
+		"The exit status is 0 when all of them were reached, 1 when one was not, and 2 for wrong flags.\n\n"+
+		"Example: bulrushlock status --nodes 10.10.1.11:8083,10.10.1.12:8083")
+	nodesFlag(c, &f.nodes)
+	formatFlag(c, &f.format)
+	c.Action(func(*kingpin.ParseContext) error {
+		return runStatus(f, s)
+	})
+}
+
+// runStatus reads the status of all nodes and prints it.
+func runStatus(f statusFlags, s streams) error {
+	answers := reach.All[oper.Status](context.Background(), reach.New(reachTime), f.nodes, "/status")
+	r := statusReport{Nodes: []oper.Status{}, Unreached: []unreached{}}
+	for _, a := range answers {
+		if a.Err != nil {
+			r.Unreached = append(r.Unreached, unreached{Node: a.Node, Problem: a.Err.Error()})
+			continue
+		}
+		r.Nodes = append(r.Nodes, a.Value)
+	}
+	show := writeStatus
+	if f.format == formatJSON {
+		show = func(w io.Writer, r statusReport) error { return printJSON(w, r) }
+	}
+	if err := show(s.out, r); err != nil {
+		return &failedError{cause: err}
+	}
+	if len(r.Unreached) > 0 {
+		return &failedError{cause: &unreachedError{command: "status", nodes: len(r.Unreached)}}
+	}
+	return nil
+}
+
+// writeStatus writes the state of nodes as a table, and the nodes that were not reached.
+func writeStatus(w io.Writer, r statusReport) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if len(r.Nodes) > 0 {
+		_, _ = fmt.Fprintln(t, "instance\tcentre\tservice\trules\tage\ttrust\tbusy\tqueued\tlimit\tcold\tclosed\tleaving\trequests")
+	}
+	for _, n := range r.Nodes {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\t%d\n",
+			n.Instance, n.Centre, n.Service, n.Rules, ageText(n.Age), n.Trust,
+			n.Busy, n.Queued, n.Limit, yesNo(n.Cold), orDash(n.Closed), yesNo(n.Leaving), n.Requests)
+	}
+	for _, u := range r.Unreached {
+		_, _ = fmt.Fprintf(t, "not reached: %s\n", u.Problem)
+	}
+	return t.Flush()
+}
+
+// ageText returns an age that is given in milliseconds.
+func ageText(milliseconds int64) string {
+	if milliseconds >= neverAge {
+		return "never"
+	}
+	return (time.Duration(milliseconds) * time.Millisecond).String()
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -258,6 +258,9 @@
 	}
 }
 
+// Peers returns what the entry knows of each backend server of a service.
+func (n *Node) Peers(at time.Time, service string) []entry.State { return n.entry.States(at, service) }
+
 // Versions returns the versions of the documents that the node holds.
 func (n *Node) Versions(at time.Time) event.Versions { return n.gossip.Versions(at) }
 
--- a/core/rules/print.go
+++ b/core/rules/print.go
@@ -34,6 +34,12 @@
 	b.WriteByte('\n')
 }
 
+// String returns the rule without its comment, with every key written out.
+func (v Service) String() string { return showService(v) }
+
+// String returns the rule without its comment, with every key written out.
+func (r Route) String() string { return showRoute(r) }
+
 // showService returns the rule of v without its comment.
 func showService(v Service) string {
 	return "service " + v.Name + showKeys(serviceKeys, &v)
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -52,6 +52,8 @@
 
 // Timeline is a part of the time line of a node.
 type Timeline struct {
+	// Life changes when the node is started again, and its sequences begin again.
+	Life    string        `json:"life"`
 	Records []loop.Record `json:"records"`
 	// Next is the sequence to go on from.
 	Next uint64 `json:"next"`
@@ -64,6 +66,7 @@
 	o := &Oper{loop: l, mux: http.NewServeMux()}
 	o.mux.HandleFunc("GET /status", o.status)
 	o.mux.HandleFunc("GET /timeline", o.timeline)
+	o.mux.HandleFunc("GET /peers", o.peers)
 	o.mux.HandleFunc("GET /rules", o.rules)
 	o.mux.HandleFunc("GET /instances", o.instances)
 	o.mux.HandleFunc("GET /live", o.live)
@@ -113,7 +116,7 @@
 		}
 		since = n
 	}
-	var t Timeline
+	t := Timeline{Life: o.read().Life}
 	t.Records, t.Next, t.Dropped = o.loop.Events(since, eventsLimit)
 	writeJSON(w, t)
 }
--- /dev/null
+++ b/io/reach/reach_test.go
@@ -0,0 +1,42 @@
+package reach
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// node serves h and returns its address.
+func node(t *testing.T, h http.HandlerFunc) netip.AddrPort {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func TestAllKeepsTheOrderOfTheNodes(t *testing.T) {
+	c := qt.New(t)
+	slow := node(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = w.Write([]byte(`{"name":"slow"}`))
+	})
+	fast := node(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"name":"fast"}`)) })
+	refuses := node(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusTeapot) })
+	hangs := node(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	type named struct{ Name string }
+	answers := All[named](t.Context(), New(500*time.Millisecond), []netip.AddrPort{slow, refuses, fast, hangs}, "/status")
+	c.Assert(answers, qt.HasLen, 4)
+	c.Check(answers[0].Value.Name, qt.Equals, "slow")
+	c.Check(answers[2].Value.Name, qt.Equals, "fast")
+	var bad *AnswerError
+	c.Assert(errors.As(answers[1].Err, &bad), qt.IsTrue)
+	c.Check(bad.Status, qt.Equals, http.StatusTeapot)
+	var gone *UnreachableError
+	c.Assert(errors.As(answers[3].Err, &gone), qt.IsTrue)
+	c.Check(gone.Node, qt.Equals, hangs)
+}
