--- a/core/depth/depth.go
+++ b/core/depth/depth.go
@@ -22,7 +22,8 @@
 // finalMark is the part of the header text that forbids retries.
 const finalMark = "final"
 
-// Call holds the limits of one call. The zero Call comes from outside.
+// Call holds the limits of one call. The zero Call comes from outside; a call of
+// depth 0 with time left comes from outside with a deadline.
 type Call struct {
 	// Depth is 1 for a call from outside and grows by one with each level.
 	Depth int
@@ -68,7 +69,7 @@
 // fails with a *NestError or a *DeadlineError.
 func Enter(parent Call, limit time.Duration) (Call, error) {
 	c := Call{Depth: parent.Depth + 1, Left: limit, Final: parent.Final}
-	if parent.Depth > 0 {
+	if parent.Depth > 0 || parent.Left > 0 {
 		c.Left = min(parent.Left, limit)
 	}
 	if c.Depth > MaxDepth {
--- a/core/depth/depth_test.go
+++ b/core/depth/depth_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"bulrushlock/core/depth"
@@ -65,3 +66,13 @@
 		}
 	}
 }
+
+func TestEnterKeepsTheDeadlineOfACallFromOutside(t *testing.T) {
+	c := qt.New(t)
+	call, err := depth.Enter(depth.Call{Left: time.Second}, time.Minute)
+	c.Assert(err, qt.IsNil)
+	c.Check(call, qt.Equals, depth.Call{Depth: 1, Left: time.Second})
+	call, err = depth.Enter(depth.Call{Left: time.Hour}, time.Minute)
+	c.Assert(err, qt.IsNil)
+	c.Check(call, qt.Equals, depth.Call{Depth: 1, Left: time.Minute})
+}
