--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -9,6 +9,9 @@
 	"bulrushlock/core/ticket"
 )
 
+// statusServerError is the first HTTP status of a failure of the server.
+const statusServerError = 500
+
 // Attempt decides on an attempt that has arrived.
 func (g *Guard) Attempt(e event.Attempt, gate Gate, out []effect.Effect) []effect.Effect {
 	if reason := g.misaddressed(e.Ticket); reason != "" {
@@ -20,15 +23,22 @@
 			return out
 		}
 	}
+	keyed := e.Key != "" && !e.Idempotent
+	if keyed {
+		var known bool
+		if out, known = g.judgeKey(e, out); known {
+			return out
+		}
+	}
 	if reason := g.closed(gate); reason != "" {
 		return g.refuse(e, reason, out)
 	}
 	if gate.Hold {
 		return g.hold(e, out)
 	}
-	if e.Key != "" && !e.Idempotent {
-		var known bool
-		if out, known = g.judgeKey(e, gate, out); known {
+	if keyed {
+		var barred bool
+		if out, barred = g.bar(e, gate, out); barred {
 			return out
 		}
 	}
@@ -150,7 +160,7 @@
 		g.ledger.Begin(e.Ticket, e.At)
 		g.ledger.Refuse(e.Ticket, e.At)
 	}
-	return deny(e, effect.NotRun, r, out)
+	return deny(e, g.refusal(e), r, out)
 }
 
 // deny appends the refusal of e.
@@ -245,11 +255,13 @@
 		return deny(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonBusy, out)
 	case event.None:
 	}
-	g.limit.Observe(e.At, w.class, e.Spent, inFlight, e.Status >= 500)
+	g.limit.Observe(e.At, w.class, e.Spent, inFlight, e.Status >= statusServerError)
 	if g.limit.Jumped() && !g.ramp.IsCold() {
 		return g.TurnCold("latency jumped", out)
 	}
-	g.ramp.Complete()
+	if e.Status < statusServerError {
+		g.ramp.Complete()
+	}
 	if g.cold && !g.ramp.IsCold() {
 		g.cold = false
 		out = append(out, effect.Note{Kind: effect.KindWarm})
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -5,8 +5,11 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
 	"bulrushlock/core/gossip"
 	"bulrushlock/core/guard"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/view"
 )
 
 // stepGossip takes an event for the views.
@@ -25,9 +28,33 @@
 	case event.Silent:
 		change = n.gossip.Silent()
 	}
+	n.observe(e.Time())
 	return n.apply(e.Time(), change, out)
 }
 
+// observe puts the members of the service into the histories. Where a version was
+// missed its members are not known, and no key is settled.
+func (n *Node) observe(at time.Time) {
+	_, rules := n.gossip.Rules()
+	_, list := n.gossip.Fleet()
+	if !rules || !list {
+		return
+	}
+	v := n.gossip.Versions(at)
+	if !follows(n.observed.Rules, v.Rules) || !follows(n.observed.Fleet, v.Fleet) {
+		n.settled.Forget()
+	}
+	n.observed = v
+	members := n.members
+	n.settled.Observe(at, members)
+	n.recent.Observe(at, members)
+}
+
+// follows reports whether v is old or the one that was published next.
+func follows(old, v view.Version) bool {
+	return v == old || v.Revision == old.Revision+1
+}
+
 // apply carries a change of the views to the entry and the guard.
 func (n *Node) apply(at time.Time, change gossip.Change, out []effect.Effect) []effect.Effect {
 	if change.Rules || change.Fleet {
@@ -58,18 +85,31 @@
 	}
 	instances, _ := n.gossip.Fleet()
 	n.entry.Apply(s, instances)
+	n.applyFleet(s, instances)
 	if change.Rules {
 		n.looks.SetRate(float64(s.Budget.Look), 1)
 		n.probes.SetRate(float64(s.Budget.Probe), 1)
 		n.probed.SetRate(float64(s.Budget.Probe), 1)
 		out = n.guard.Apply(at, s, out)
 	}
-	if instances != nil {
-		n.history.Observe(at, n.members())
-	}
 	return n.noticeOut(out)
 }
 
+// applyFleet derives from the list what the guard has to know of its own
+// instance and of those that share its service.
+func (n *Node) applyFleet(s *rules.Set, instances []fleet.Instance) {
+	n.listed = false
+	n.members = nil
+	for _, i := range instances {
+		if i.Name == n.identity.Instance {
+			n.listed = i.Leaving
+		}
+		if i.Service == n.identity.Service && !i.Leaving && !s.IsOut(i.Name, i.Centre) {
+			n.members = append(n.members, i.Name)
+		}
+	}
+}
+
 // noticeOut refuses waiting work when this node is taken out, and notes the change.
 func (n *Node) noticeOut(out []effect.Effect) []effect.Effect {
 	reason := n.closed()
@@ -93,8 +133,7 @@
 	if n.looks.Take(e.At, 1) {
 		out = append(out, effect.Look{})
 	}
-	out = n.probe(e, out)
-	return n.finish(e.At, out)
+	return n.probe(e, out)
 }
 
 // probe asks for the load of a peer whose last answer was a failure.
