fix(core): keep entries from following late reports into one place

Cause: all entries see the same late reports, so all of them sent to the backend server that looked idle, and spilled to other data centres together. Change: a report weighs 0.4, an own request 2.0; a reported queue adds 0.5 and so lets other data centres join; of two failing candidates the one with fewer failures goes first.

--- a/core/pick/aware.go
+++ b/core/pick/aware.go
@@ -5,8 +5,16 @@
 const (
 	// fade is the age at which a report counts half.
 	fade = 50 * time.Millisecond
-	// busy is the load, as a share of the limit, from which other data centres
-	// are considered.
+	// reportWeight is the weight of a fresh report in a load. All entries see the
+	// same reports, so a full weight would make them choose the same one.
+	reportWeight = 0.4
+	// ownWeight is the weight of an outstanding request of the entry in a load.
+	ownWeight = 2.0
+	// overfull is the reported requests over the limit from which a queue has
+	// formed, and queueLoad is what is then added to the load.
+	overfull  = 1.2
+	queueLoad = 0.5
+	// busy is the load from which other data centres are considered.
 	busy = 0.8
 	// distance is the load by which another data centre has to be better.
 	distance = 0.2
@@ -15,9 +23,9 @@
 	avoid = 10 * time.Millisecond
 	// avoidDoublings bounds the doublings of avoid.
 	avoidDoublings = 7
-	// full is the load of a candidate that has no room.
-	full = 1.0
-	// barred is added to the load of a candidate that is to be avoided.
+	// barred is added to the load of a candidate that is to be avoided, and again
+	// for each doubling of avoid: of two that fail, the one that fails less goes
+	// first.
 	barred = 1000.0
 )
 
@@ -84,24 +92,35 @@
 	return index, load
 }
 
-// load returns the load of c as a share of its limit. It is far above 1 when c is
-// to be avoided.
+// load returns a measure of the load of c: the weighted requests over the limit.
+// It is far above 1 when c is to be avoided.
 func (c *Candidate) load(now time.Time) float64 {
 	weight := 0.0
 	if !c.Reported.IsZero() {
 		age := max(now.Sub(c.Reported), 0)
 		weight = float64(fade) / float64(fade+age)
 	}
-	known := weight*float64(c.InFlight+c.Queued) + float64(c.Outstanding)
-	load := known / float64(max(c.Limit, 1))
-	if c.Failures > 0 {
-		doublings := min(c.Failures-1, avoidDoublings)
-		if now.Sub(c.Failed) < avoid<<doublings {
-			load += barred
-		}
+	limit := float64(max(c.Limit, 1))
+	reported := weight * float64(c.InFlight+c.Queued)
+	load := (reportWeight*reported + ownWeight*float64(c.Outstanding)) / limit
+	if reported >= overfull*limit {
+		load += queueLoad
 	}
-	if c.Cold && load >= full {
+	load += c.bar(now)
+	if c.Cold && max(reported, float64(c.Outstanding)) >= limit {
 		load += barred
 	}
 	return load
 }
+
+// bar returns what the failures of c add to its load.
+func (c *Candidate) bar(now time.Time) float64 {
+	if c.Failures < 1 {
+		return 0
+	}
+	doublings := min(c.Failures-1, avoidDoublings)
+	if now.Sub(c.Failed) >= avoid<<doublings {
+		return 0
+	}
+	return barred * float64(1+doublings)
+}
