fix(core): try failing and cold candidates less often

Cause: each entry tried a failing backend server about eight times in a second, and a cold one that is three times as slow got as much as a warm one. Change: the wait after failures grows eightfold up to 1.28 s; the bar grows with each failure; a cold candidate counts 0.2 of load more.

--- a/core/pick/aware.go
+++ b/core/pick/aware.go
@@ -18,14 +18,16 @@
 	busy = 0.8
 	// distance is the load by which another data centre has to be better.
 	distance = 0.2
+	// coldLoad is added to the load of a candidate in cold start, since it is slow
+	// even within its limit.
+	coldLoad = 0.2
 	// avoid is the time for which a candidate is avoided after one failure. It
-	// doubles with each further failure.
-	avoid = 10 * time.Millisecond
-	// avoidDoublings bounds the doublings of avoid.
-	avoidDoublings = 7
-	// barred is added to the load of a candidate that is to be avoided, and again
-	// for each doubling of avoid: of two that fail, the one that fails less goes
-	// first.
+	// grows by avoidGrowth with each further failure, up to avoidMost.
+	avoid       = 10 * time.Millisecond
+	avoidGrowth = 8
+	avoidMost   = 1280 * time.Millisecond
+	// barred is added to the load of a candidate that is to be avoided, once for
+	// each failure: of two that fail, the one that fails less goes first.
 	barred = 1000.0
 )
 
@@ -106,11 +108,13 @@
 	if reported >= overfull*limit {
 		load += queueLoad
 	}
-	load += c.bar(now)
-	if c.Cold && max(reported, float64(c.Outstanding)) >= limit {
-		load += barred
+	if c.Cold {
+		load += coldLoad
+		if max(reported, float64(c.Outstanding)) >= limit {
+			load += barred
+		}
 	}
-	return load
+	return load + c.bar(now)
 }
 
 // bar returns what the failures of c add to its load.
@@ -118,9 +122,12 @@
 	if c.Failures < 1 {
 		return 0
 	}
-	doublings := min(c.Failures-1, avoidDoublings)
-	if now.Sub(c.Failed) >= avoid<<doublings {
+	length := avoid
+	for k := 1; k < c.Failures && length < avoidMost; k++ {
+		length *= avoidGrowth
+	}
+	if now.Sub(c.Failed) >= min(length, avoidMost) {
 		return 0
 	}
-	return barred * float64(1+doublings)
+	return barred * float64(c.Failures)
 }
