fix(core): send less to a backend server that has become slow

Cause: a backend server that takes ten times as long looks no busier than the others to an entry with few outstanding requests, and the adaptive limit at its guard needs some requests to see it. Change: a candidate at three times the lowest latency counts 1.0 of load more, until its report is a second old; the entry smooths latency over 10 answers.

--- a/core/pick/aware.go
+++ b/core/pick/aware.go
@@ -21,6 +21,12 @@
 	// coldLoad is added to the load of a candidate in cold start, since it is slow
 	// even within its limit.
 	coldLoad = 0.2
+	// slow is the latency, in latencies of the fastest candidate, from which a
+	// candidate counts as slow; slowLoad is then added to its load. A report older
+	// than slowMost no longer makes a candidate slow, so that it is tried again.
+	slow     = 3
+	slowLoad = 1.0
+	slowMost = time.Second
 	// avoid is the time for which a candidate is avoided after one failure. It
 	// grows by avoidGrowth with each further failure, up to avoidMost.
 	avoid       = 10 * time.Millisecond
@@ -49,25 +55,38 @@
 	if len(candidates) == 0 {
 		return 0, false
 	}
-	best, load := draw(now, random, candidates, true)
+	least := fastest(candidates)
+	best, load := draw(now, random, candidates, true, least)
 	if best < 0 || load > busy {
-		far, farLoad := draw(now, random, candidates, false)
+		far, farLoad := draw(now, random, candidates, false, least)
 		if best < 0 || far >= 0 && farLoad+distance < load {
 			best, load = far, farLoad
 		}
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Beside && c.load(now) <= load+1/float64(max(c.Limit, 1)) {
+		if c.Beside && c.load(now, least) <= load+1/float64(max(c.Limit, 1)) {
 			return i, true
 		}
 	}
 	return best, true
 }
 
+// fastest returns the lowest latency among the candidates that have one.
+func fastest(candidates []Candidate) time.Duration {
+	var least time.Duration
+	for i := range candidates {
+		l := candidates[i].Latency
+		if l > 0 && (least == 0 || l < least) {
+			least = l
+		}
+	}
+	return least
+}
+
 // draw returns the better of two random candidates that are near, or of two that
 // are not, with its load. The index is -1 if there is none.
-func draw(now time.Time, random uint64, candidates []Candidate, near bool) (index int, load float64) {
+func draw(now time.Time, random uint64, candidates []Candidate, near bool, least time.Duration) (index int, load float64) {
 	count := 0
 	for i := range candidates {
 		if candidates[i].Near == near {
@@ -84,7 +103,7 @@
 			continue
 		}
 		if k == first || k == second {
-			l := candidates[i].load(now)
+			l := candidates[i].load(now, least)
 			if index < 0 || l < load || l == load && k == first {
 				index, load = i, l
 			}
@@ -95,8 +114,9 @@
 }
 
 // load returns a measure of the load of c: the weighted requests over the limit.
-// It is far above 1 when c is to be avoided.
-func (c *Candidate) load(now time.Time) float64 {
+// It is far above 1 when c is to be avoided. The lowest latency of the candidates
+// is least.
+func (c *Candidate) load(now time.Time, least time.Duration) float64 {
 	weight := 0.0
 	if !c.Reported.IsZero() {
 		age := max(now.Sub(c.Reported), 0)
@@ -108,6 +128,9 @@
 	if reported >= overfull*limit {
 		load += queueLoad
 	}
+	if c.Latency > slow*least && now.Sub(c.Reported) < slowMost {
+		load += slowLoad
+	}
 	if c.Cold {
 		load += coldLoad
 		if max(reported, float64(c.Outstanding)) >= limit {
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -40,7 +40,8 @@
 	Failed time.Time
 	// Failures is the number of refusals and failures since the last good answer.
 	Failures int
-	// Latency is the recent latency of good answers.
+	// Latency is the recent latency of good answers to requests of like cost, or
+	// zero if there is none.
 	Latency time.Duration
 }
 
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -45,6 +45,8 @@
 	far := pick.Candidate{Limit: 10, Reported: now}
 	failing := pick.Candidate{Near: true, Limit: 10, Reported: now, Failed: now, Failures: 1}
 	broken := pick.Candidate{Near: true, Limit: 10, Reported: now, Failed: now, Failures: 5}
+	slow := pick.Candidate{Near: true, Limit: 10, Latency: 50 * time.Millisecond, Reported: now}
+	fast := pick.Candidate{Near: true, Limit: 10, InFlight: 9, Latency: 5 * time.Millisecond, Reported: now}
 	cold := pick.Candidate{Near: true, Limit: 1, Outstanding: 1, Cold: true, Reported: now}
 	beside := pick.Candidate{Near: true, Beside: true, Limit: 10, Reported: now}
 	fullBeside := pick.Candidate{Near: true, Beside: true, Limit: 10, InFlight: 10, Reported: now}
@@ -58,6 +60,7 @@
 		{name: "own data centre first", candidates: []pick.Candidate{far, busy}, want: 1},
 		{name: "spill by load", candidates: []pick.Candidate{far, queued}, want: 0},
 		{name: "no spill without a queue", candidates: []pick.Candidate{far, full}, want: 1},
+		{name: "slow one", candidates: []pick.Candidate{slow, fast}, want: 1},
 		{name: "two that fail", candidates: []pick.Candidate{broken, failing}, want: 1},
 		{name: "failing one", candidates: []pick.Candidate{failing, busy}, want: 1},
 		{name: "cold one without room", candidates: []pick.Candidate{cold, full}, want: 1},
--- a/core/scene/entry.go
+++ b/core/scene/entry.go
@@ -17,6 +17,9 @@
 	retryReserve = 10
 	// probesPerRequest is the number of probes that Probing sends for a request.
 	probesPerRequest = 3
+	// entrySmoothing is the number of answers over which an entry smooths the
+	// latency of a backend server.
+	entrySmoothing = 10
 	// besideDelay and centreDelay are the one-way delays to the guard beside the
 	// entry and to one in the same data centre.
 	besideDelay = 20 * time.Microsecond
@@ -122,7 +125,7 @@
 	case p.outcome == ran:
 		v.known.Failures = 0
 		if !e.probing {
-			v.known.Latency += (latency - v.known.Latency) / smoothing
+			v.known.Latency += (latency - v.known.Latency) / entrySmoothing
 		}
 		e.result.finish(r, ran)
 		return
--- a/core/scene/guard.go
+++ b/core/scene/guard.go
@@ -20,8 +20,8 @@
 	failed
 )
 
-// smoothing is the number of requests over which a guard smooths its latency.
-const smoothing = 50
+// guardSmoothing is the number of requests over which a guard smooths its latency.
+const guardSmoothing = 50
 
 // reply is what a guard answers to an attempt.
 type reply struct {
@@ -153,7 +153,7 @@
 		g.turnCold()
 		return
 	}
-	g.latency += (latency - g.latency) / smoothing
+	g.latency += (latency - g.latency) / guardSmoothing
 	g.ramp.Complete()
 	jumped := g.limit.Jumped()
 	if jumped && !g.jumped {
