feat(core): measure the wait above the service time, and the return of a data centre

Cause: the 99th percentile of the latency is mostly the spread of the service times (20 ms on an idle fleet), and the results of the scene with a data centre ended at its return. Change: the 99th percentile of latency less service time stands beside it; scenes with cold starts and data centres count to the end of the run.

--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -147,11 +147,12 @@
 // printResults prints one line for each result.
 func printResults(out io.Writer, results []scene.Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "size\tscene\tpolicy\tp50 ms\tp99 ms\tp99.9 ms\tgood/s\tsuccess %\t"+
+	_, _ = fmt.Fprintln(w, "size\tscene\tpolicy\tp50 ms\tp99 ms\tp99.9 ms\twait ms\tgood/s\tsuccess %\t"+
 		"refused\tunknown\tretries\tprobes\toverload\tblind\texcess\t")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.0f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%d\t%d\t\n",
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%d\t%d\t\n",
 			r.Size, r.Scene, r.Policy, milliseconds(r.P50), milliseconds(r.P99), milliseconds(r.P999),
+			milliseconds(r.Wait),
 			r.Good, 100*r.Success, r.Refused, r.Unknown, r.Retries, r.Probes, r.Overload, r.Blind, r.Excess)
 	}
 	return w.Flush()
--- a/core/scene/result.go
+++ b/core/scene/result.go
@@ -15,9 +15,10 @@
 	slice = 100 * time.Millisecond
 )
 
-// Result is what one run measured. In a scene with faults that begin and end, it
-// tells of the requests that arrived between the two; otherwise of all that
-// arrived after the warm-up.
+// Result is what one run measured. In a scene with a fault it tells of the
+// requests that arrived while the fault lasted, or to the end of the run if the
+// fault comes again or has an aftermath; otherwise of all that arrived after the
+// warm-up.
 type Result struct {
 	Scene  string `json:"scene"`
 	Size   string `json:"size"`
@@ -26,6 +27,9 @@
 	P50  time.Duration `json:"p50"`
 	P99  time.Duration `json:"p99"`
 	P999 time.Duration `json:"p999"`
+	// Wait is the 99th percentile of the time that good requests took above their
+	// service time on an idle, warm backend server beside the entry.
+	Wait time.Duration `json:"wait"`
 	// Offered is the number of requests.
 	Offered int `json:"offered"`
 	// Good is the number of good requests a second.
@@ -62,6 +66,7 @@
 	from    time.Duration // Requests that arrive from here
 	to      time.Duration // to here count.
 	latency *hdrhistogram.Histogram
+	wait    *hdrhistogram.Histogram
 	offered int
 	counts  [3]int // By outcome.
 	all     int
@@ -78,6 +83,7 @@
 		from:    from,
 		to:      to,
 		latency: hdrhistogram.New(1, highest.Microseconds(), digits),
+		wait:    hdrhistogram.New(1, highest.Microseconds(), digits),
 	}
 }
 
@@ -104,6 +110,7 @@
 	}
 	latency := min(r.clock.now-q.arrived, highest)
 	_ = r.latency.RecordValue(latency.Microseconds()) // It lies in range.
+	_ = r.wait.RecordValue((latency - q.work).Microseconds())
 }
 
 // inside tells whether q counts.
@@ -123,13 +130,14 @@
 // conclude returns the result of the run.
 func (w *world) conclude(policy string) Result {
 	r := w.result
-	quantile := func(q float64) time.Duration {
-		return time.Duration(r.latency.ValueAtQuantile(q)) * time.Microsecond
+	quantile := func(h *hdrhistogram.Histogram, q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 	}
 	all := float64(max(r.all, 1))
 	result := Result{
 		Scene: w.scene.Name, Size: w.size.Name, Policy: policy,
-		P50: quantile(50), P99: quantile(99), P999: quantile(99.9),
+		P50: quantile(r.latency, 50), P99: quantile(r.latency, 99), P999: quantile(r.latency, 99.9),
+		Wait:    quantile(r.wait, 99),
 		Offered: r.offered,
 		Good:    float64(r.counts[ran]) / (r.to - r.from).Seconds(),
 		Refused: r.counts[refused],
--- a/core/scene/run.go
+++ b/core/scene/run.go
@@ -140,6 +140,9 @@
 	if s.Slow || s.Cold || s.Fail || s.Centre {
 		from, to = w.window()
 	}
+	if s.Cold || s.Centre {
+		to = o.Length
+	}
 	w.result = newRecorder(c, from, to)
 	w.build(policy)
 	w.schedule()
