fix(io/front): refuse an upload before its body is sent

Cause: net/http reads up to 256 KB of an unread body before it sends an answer, so a refused upload waited for its caller. Ruled out: reading the body only to drop it. Change: an answer to an upload that is not read closes its connection. Before: the case 'long body' of TestBadRequestsAreRefusedAndDoNotRun hung until its limit of 30 s. After: it passes. Conclusion: a refusal costs neither side the upload.

--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -68,6 +68,10 @@
 		p.Ticket = e.Ticket.String()
 		v.writer.Header().Set(xchg.HeaderTicket, p.Ticket)
 	}
+	if v.stream != nil {
+		// Without this the answer would wait until the caller has sent its whole body.
+		v.writer.Header().Set("Connection", "close")
+	}
 	writeProblem(v.writer, p)
 }
 
