fix(io/daemon): answer OPTIONS * like any request without a route

Cause: net/http answers OPTIONS * by itself, with no outcome. Ruled out: leaving it, as every answer to a caller names an outcome. Change: the general answer of net/http is switched off. Before: the case 'no path' of TestBadRequestsAreRefusedAndDoNotRun got 200. After: 404 with outcome not-run. Conclusion: all cases of that test pass.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -196,7 +196,14 @@
 
 // add serves h on l.
 func (d *Daemon) add(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug)}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+
+		DisableGeneralOptionsHandler: true,
+	}
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
