fix(io/carry): start nothing once a stop waits for the end

Cause: ticks and calls of peers could start effects while Stop waited for those that ran, which a wait group does not allow. Ruled out: stopping the loop first, as calls of peers reach it to the end. Change: a lock decides whether an effect starts before or not at all. Before: misuse of the wait group. After: TestStopLetsNoEffectStart passes under the race detector. Conclusion: a node ends without a race.

--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -49,6 +49,9 @@
 	context context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// mutex keeps effects from starting once Stop waits for those that run.
+	mutex   sync.Mutex
+	stopped bool
 }
 
 // New returns a carrier whose effects wait for Start.
@@ -70,6 +73,9 @@
 
 // Stop gives up what is under way and waits for its end.
 func (c *Carrier) Stop() {
+	c.mutex.Lock()
+	c.stopped = true
+	c.mutex.Unlock()
 	c.cancel()
 	c.running.Wait()
 }
@@ -92,6 +98,11 @@
 
 // spawn runs f beside the caller, once the carrier is started.
 func (c *Carrier) spawn(f func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stopped {
+		return
+	}
 	c.running.Go(func() {
 		select {
 		case <-c.ready:
--- /dev/null
+++ b/io/carry/carry_test.go
@@ -0,0 +1,144 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/plat"
+	"bulrushlock/io/serve"
+	"bulrushlock/io/wire"
+)
+
+const testRules = `
+service filing slots=10   # Test: one service
+`
+
+// platform is a platform that answers by a function.
+type platform struct {
+	read func(ctx context.Context, after uint64) (plat.Document, error)
+}
+
+// Rules reads the rules.
+func (p platform) Rules(ctx context.Context, after uint64, _ time.Duration) (plat.Document, error) {
+	return p.read(ctx, after)
+}
+
+// Instances reads the list of instances.
+func (p platform) Instances(ctx context.Context, after uint64, _ time.Duration) (plat.Document, error) {
+	return p.read(ctx, after)
+}
+
+// looker is a backend server that is never reached.
+type looker struct{}
+
+// Look fails.
+func (looker) Look(context.Context) (serve.Sight, error) { return serve.Sight{}, errDown }
+
+// errDown is the failure of all that is down.
+var errDown = errors.New("down")
+
+// newCarrier returns a carrier with its loop, which has not started.
+func newCarrier(c *qt.C, p plat.Reader, peers []netip.AddrPort) (*Carrier, *loop.Loop) {
+	carrier := New(Options{Platform: p, Looker: looker{}, Peers: peers, Finished: func() {}})
+	n := node.New(node.Identity{Instance: "filing-1", Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewAware())
+	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: carrier.Do})
+	c.Cleanup(func() {
+		carrier.Stop()
+		l.Stop()
+	})
+	return carrier, l
+}
+
+// newWire returns the calls of a node.
+func newWire(l *loop.Loop, name string) *wire.Wire {
+	return wire.New(l, ticket.Node{Instance: name, Incarnation: 1}, (&net.Dialer{}).DialContext)
+}
+
+func TestStopLetsNoEffectStart(t *testing.T) {
+	c := qt.New(t)
+	var looks atomic.Int32
+	carrier := New(Options{Finished: func() { looks.Add(1) }})
+	close(carrier.ready)
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 1000 {
+				carrier.Do(effect.Finished{})
+			}
+		})
+	}
+	carrier.Stop()
+	seen := looks.Load()
+	callers.Wait()
+	c.Check(looks.Load(), qt.Equals, seen)
+}
+
+func TestNodeLearnsFromAPeerThatStartsLater(t *testing.T) {
+	c := qt.New(t)
+	down := platform{read: func(context.Context, uint64) (plat.Document, error) { return plat.Document{}, errDown }}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	c.Assert(listener.Close(), qt.IsNil)
+	carrier, l := newCarrier(c, down, []netip.AddrPort{address})
+	carrier.Start(l, newWire(l, "filing-1"))
+
+	time.Sleep(50 * time.Millisecond)
+	peer, other := newCarrier(c, down, nil)
+	w := newWire(other, "filing-2")
+	peer.Start(other, w)
+	other.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 4})
+	other.Do(event.Read{At: time.Now(), Document: event.Fleet, Text: "[]", Revision: 2})
+	listener, err = net.Listen("tcp", address.String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	go w.Serve(listener)
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, v := l.Load()
+		if v.Rules.Revision == 4 && v.Fleet.Revision == 2 {
+			return
+		}
+	}
+	c.Fatal("the documents of the peer were not read")
+}
+
+// An answer that waited while the process slept tells what was true before.
+func TestLateAnswerConfirmsNothing(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p := platform{read: func(_ context.Context, after uint64) (plat.Document, error) {
+				if after == 0 {
+					return plat.Document{Text: testRules, Revision: 1}, nil
+				}
+				if late {
+					time.Sleep(time.Minute)
+				}
+				return plat.Document{}, &plat.UnchangedError{After: after}
+			}}
+			carrier, l := newCarrier(c, p, nil)
+			carrier.Start(l, newWire(l, "filing-1"))
+			time.Sleep(50 * time.Second)
+			carrier.fetch(effect.Fetch{Document: event.Rules, After: 1, Wait: time.Second})
+			_, v := l.Load()
+			c.Check(v.Age < 10*time.Second, qt.Equals, !late, qt.Commentf("%v", v.Age))
+		})
+	}
+}
--- /dev/null
+++ b/io/wire/wire_test.go
@@ -0,0 +1,94 @@
+package wire
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+)
+
+const testRules = `
+service filing slots=10   # Test: one service
+budget probe=100   # Test: probes are answered
+`
+
+// newWire returns the calls of a node that has rules, with the address that serves them.
+func newWire(c *qt.C, self ticket.Node) (*Wire, netip.AddrPort) {
+	n := node.New(node.Identity{
+		Instance: self.Instance, Incarnation: self.Incarnation, Centre: "north", Service: "filing",
+	}, pick.NewAware())
+	l := loop.New(n, loop.Options{
+		Instance: self.Instance, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {},
+	})
+	c.Cleanup(l.Stop)
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 3})
+	w := New(l, self, (&net.Dialer{}).DialContext)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go w.Serve(listener)
+	return w, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// Each call must pass the codec, which refuses some types only when they are sent.
+func TestEveryCallIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	one := ticket.Node{Instance: "filing-1", Incarnation: 1}
+	two := ticket.Node{Instance: "filing-2", Incarnation: 2}
+	w, _ := newWire(c, one)
+	_, peer := newWire(c, two)
+	ctx := t.Context()
+
+	told, err := w.Tell(ctx, peer, event.Versions{})
+	c.Assert(err, qt.IsNil)
+	c.Check(told.From, qt.Equals, two)
+	c.Check(told.Versions.Rules.Revision, qt.Equals, uint64(3))
+
+	fetched, err := w.Fetch(ctx, peer, event.Rules)
+	c.Assert(err, qt.IsNil)
+	c.Check(fetched, qt.Equals, FetchAnswer{Text: testRules, Revision: 3})
+
+	probed, err := w.Probe(ctx, peer)
+	c.Assert(err, qt.IsNil)
+	c.Check(probed.From, qt.Equals, two)
+
+	events, err := w.Events(ctx, peer, 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(events.Records) > 0, qt.IsTrue)
+
+	asked := ticket.Ticket{Entry: one, Sequence: 1, Guard: two, Service: "filing"}
+	verdict, answer := w.Ask(ctx, fleet.Instance{Control: peer}, asked, true)
+	c.Check(verdict, qt.Equals, event.NotRun)
+	c.Check(answer, qt.IsNil)
+	asked.Guard.Incarnation++
+	verdict, _ = w.Ask(ctx, fleet.Instance{Control: peer}, asked, true)
+	c.Check(verdict, qt.Equals, event.Unknown)
+}
+
+func TestCallToASilentPeerEnds(t *testing.T) {
+	c := qt.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = silent.Close() }()
+	w, _ := newWire(c, ticket.Node{Instance: "filing-1", Incarnation: 1})
+	peer := netip.MustParseAddrPort(silent.Addr().String())
+	_, err = w.Tell(t.Context(), peer, event.Versions{})
+	var failed *CallError
+	c.Assert(errors.As(err, &failed), qt.IsTrue)
+	c.Check(failed.Peer, qt.Equals, peer)
+	verdict, _ := w.Ask(t.Context(), fleet.Instance{Control: peer}, ticket.Ticket{Sequence: 1}, true)
+	c.Check(verdict, qt.Equals, event.Broken)
+}
