fix(io/carry): ask the peers of the settings until the documents are there

Cause: a node asked these peers once. With the platform down, and a peer that started a moment later, it never got rules; the peers of a list cannot help a node that has no list. Ruled out: taking documents from any node that calls, as its address is not known. Change: the question is repeated until both documents are there. Before: TestNodeLearnsFromAPeerThatStartsLater failed after 20 s. After: it passes. Conclusion: nodes that start together come up without the platform once one of them has the documents.

--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -28,6 +28,8 @@
 	readTime = 2 * time.Second
 	// lookTime is the longest time of a look at the backend server.
 	lookTime = time.Second
+	// bootstrapTime is the time between two reads of a peer by a node that lacks a document.
+	bootstrapTime = 500 * time.Millisecond
 )
 
 // Options are what a Carrier works with.
@@ -158,11 +160,30 @@
 	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Versions: a.Versions})
 }
 
-// bootstrap reads both documents from a node that the settings name.
+// bootstrap reads both documents from a node that the settings name, and goes on
+// until this node has both of them from any source: the peer may start later.
 func (c *Carrier) bootstrap(peer netip.AddrPort) {
 	from := event.Source{Peer: peer.String()}
-	c.fetchFrom(peer, from, event.Rules)
-	c.fetchFrom(peer, from, event.Fleet)
+	t := time.NewTicker(bootstrapTime)
+	defer t.Stop()
+	for {
+		c.fetchFrom(peer, from, event.Rules)
+		c.fetchFrom(peer, from, event.Fleet)
+		if c.hasBoth() {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-c.context.Done():
+			return
+		}
+	}
+}
+
+// hasBoth reports whether this node has rules and a list of instances.
+func (c *Carrier) hasBoth() bool {
+	_, v := c.loop.Load()
+	return v.Rules.Revision > 0 && v.Fleet.Revision > 0
 }
 
 // look looks at the backend server beside this node.
