fix(io): let no answer from before a pause confirm a view

The same holds for calls of peers. Ruled out: leaving it to the deadline of the call, as a read that is ready may win against a timer that is due. Change: an answer that is read after its deadline is dropped as a failed one. Conclusion: a view is confirmed by answers of the last few seconds only.

--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -122,6 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.context, e.Wait+readTime)
 	defer cancel()
+	deadline, _ := ctx.Deadline()
 	read := c.options.Platform.Rules
 	if e.Document == event.Fleet {
 		read = c.options.Platform.Instances
@@ -130,6 +131,9 @@
 	now := time.Now()
 	var unchanged *plat.UnchangedError
 	switch {
+	case now.After(deadline):
+		// The process slept, so the answer tells what was true before.
+		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	case errors.As(err, &unchanged):
 		c.loop.Do(event.Unchanged{At: now, Document: e.Document})
 	case err != nil:
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -86,6 +86,10 @@
 	if err := client.Call("Node."+method, question, answer); err != nil {
 		return &CallError{Method: method, Peer: peer, Cause: err}
 	}
+	// The process may have slept, so that the answer tells what was true before.
+	if time.Now().After(deadline) {
+		return &CallError{Method: method, Peer: peer, Cause: context.DeadlineExceeded}
+	}
 	return nil
 }
 
