--- a/cmd/main.go
+++ b/cmd/main.go
@@ -32,8 +32,16 @@
 // commands lists the functions that register the commands, in help order.
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
+	registerDemo,
+	registerExplain,
+	registerLoad,
+	registerNode,
 	registerStand,
+	registerStatus,
+	registerTimeline,
+	registerTrial,
 	registerVersion,
+	registerMeasure,
 }
 
 // Main runs the command that args name and returns its exit status.
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -103,7 +103,8 @@
 	c.depth = limits
 	c.deadline = e.At.Add(limits.Left)
 	n.calls[c.id] = c
-	if c.recovers {
+	// A guard keeps no record of idempotent attempts, so these are sent once more.
+	if c.recovers && !r.Idempotent {
 		return n.ask(c, 0, out)
 	}
 	n.retries.Deposit()
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -41,6 +41,8 @@
 	pushes = 4
 	// checks is the number of peers that are asked whether a view is still the newest.
 	checks = 3
+	// fetchTime is the time for which a version is not asked of a second peer.
+	fetchTime = 500 * time.Millisecond
 	// documents is the number of published documents.
 	documents = 2
 )
@@ -62,7 +64,6 @@
 	reads    [documents]reading
 	watches  bool
 	round    time.Time
-	cursor   uint64
 	trust    trust
 	others   []fleet.Instance
 }
@@ -71,6 +72,9 @@
 type reading struct {
 	pending bool
 	next    time.Time
+	// wanted is the version that a peer was asked for at the time asked.
+	wanted view.Version
+	asked  time.Time
 }
 
 // New returns the empty views of the node of the given instance.
@@ -140,7 +144,7 @@
 
 // Read takes over a document that was read.
 func (g *Gossip) Read(e event.Read, random uint64, out []effect.Effect) (Change, []effect.Effect) {
-	g.done(e.Document, e.From, e.At)
+	g.done(e.Document, e.From)
 	verdict, err := g.offer(e)
 	if err != nil {
 		g.delay(e, e.Document, e.From, random)
@@ -218,7 +222,7 @@
 		if name == instance {
 			return true
 		}
-		near = slices.DeleteFunc(near, func(n string) bool { return n == name })
+		near = slices.DeleteFunc(near, func(other string) bool { return other == name })
 	}
 	return false
 }
@@ -251,12 +255,12 @@
 
 // Told takes over the versions of a peer.
 func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
-	wantsRules := g.rules.Wants(e.Versions.Rules)
+	p := g.teller(e)
 	if g.fleet.Wants(e.Versions.Fleet) {
-		out = g.fetchFrom(e, event.Fleet, out)
+		out = g.fetchFrom(e.At, event.Fleet, p, e.Versions.Fleet, out)
 	}
-	if wantsRules {
-		return Change{}, g.fetchFrom(e, event.Rules, out)
+	if g.rules.Wants(e.Versions.Rules) {
+		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
 	}
 	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime {
 		return Change{Trust: g.trust.fail()}, out
@@ -265,16 +269,14 @@
 	return Change{Trust: g.trust.confirm()}, out
 }
 
-// fetchFrom asks the peer of e for a document. A peer that is not listed has no
-// known address: the platform is read soon in its place.
-func (g *Gossip) fetchFrom(e event.Told, d event.Document, out []effect.Effect) []effect.Effect {
-	if p := g.other(e.Peer); p != nil {
-		return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
+// teller returns the peer that told its versions. One that is not yet listed is
+// known by the address that it told; the result is nil where it told none.
+func (g *Gossip) teller(e event.Told) *fleet.Instance {
+	p := g.other(e.Peer)
+	if p == nil && e.Control.IsValid() {
+		return &fleet.Instance{Name: e.Peer, Control: e.Control}
 	}
-	if soon := e.At.Add(retryTime); g.reads[d].next.After(soon) {
-		g.reads[d].next = soon
-	}
-	return out
+	return p
 }
 
 // other returns the listed peer of the given name, or nil.
@@ -291,18 +293,32 @@
 // Behind reports whether v is newer than the rules of this node.
 func (g *Gossip) Behind(v view.Version) bool { return g.rules.Wants(v) }
 
-// CatchUp asks the peer that holds v for its rules.
-func (g *Gossip) CatchUp(name string, out []effect.Effect) []effect.Effect {
-	p := g.other(name)
+// CatchUp asks the peer that holds the version v of the rules for them.
+func (g *Gossip) CatchUp(at time.Time, name string, v view.Version, out []effect.Effect) []effect.Effect {
+	return g.fetchFrom(at, event.Rules, g.other(name), v, out)
+}
+
+// fetchFrom asks a peer for the version v of a document, unless another peer
+// was asked for it, or for a newer one, a moment ago. Where p is nil the platform
+// is read soon.
+func (g *Gossip) fetchFrom(at time.Time, d event.Document, p *fleet.Instance, v view.Version, out []effect.Effect) []effect.Effect {
+	r := &g.reads[d]
 	if p == nil {
-		return g.fetch(event.Rules, out)
+		if soon := at.Add(retryTime); r.next.After(soon) {
+			r.next = soon
+		}
+		return out
 	}
-	return append(out, effect.Fetch{Document: event.Rules, Peer: p, After: g.rules.Version().Revision})
+	if r.wanted.Compare(v) >= 0 && at.Sub(r.asked) < fetchTime {
+		return out
+	}
+	r.wanted, r.asked = v, at
+	return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
 }
 
 // Unchanged takes over that a source holds nothing newer.
 func (g *Gossip) Unchanged(e event.Unchanged, out []effect.Effect) (Change, []effect.Effect) {
-	g.done(e.Document, e.From, e.At)
+	g.done(e.Document, e.From)
 	return g.confirmed(e.At, e.Document, e.From, out)
 }
 
@@ -321,7 +337,7 @@
 
 // Unread takes over that a read has failed.
 func (g *Gossip) Unread(e event.Unread, random uint64) Change {
-	g.done(e.Document, e.From, e.At)
+	g.done(e.Document, e.From)
 	g.delay(e, e.Document, e.From, random)
 	return Change{Trust: g.trust.fail()}
 }
@@ -329,16 +345,13 @@
 // Silent takes over that a peer could not be reached.
 func (g *Gossip) Silent() Change { return Change{Trust: g.trust.fail()} }
 
-// done ends a read of the platform and sets the time of the next one.
-func (g *Gossip) done(d event.Document, from event.Source, at time.Time) {
-	if from.Peer != "" {
+// done ends a read of the platform or of a peer.
+func (g *Gossip) done(d event.Document, from event.Source) {
+	if from.Peer == "" {
+		g.reads[d].pending = false
 		return
 	}
-	r := &g.reads[d]
-	r.pending = false
-	if r.next.Before(at) {
-		r.next = at
-	}
+	g.reads[d].wanted = view.Version{}
 }
 
 // delay lets the next read of a document wait after one that gave nothing to
@@ -360,8 +373,12 @@
 // Tick starts the reads and exchanges that are due.
 func (g *Gossip) Tick(e event.Tick, paused bool, out []effect.Effect) (Change, []effect.Effect) {
 	var change Change
-	if paused || g.Age(e.At) > trustTime {
-		change.Trust, out = g.check(e.At, e.Random, paused, out)
+	switch {
+	case paused:
+		change.Trust = true
+		out = g.check(e.At, e.Random, out)
+	case g.Age(e.At) > doubtTime:
+		change.Trust, out = g.doubt(e.At, e.Random, out)
 	}
 	if g.trust.expire(e.At) {
 		change.Trust = true
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -68,6 +68,10 @@
 		p.Ticket = e.Ticket.String()
 		v.writer.Header().Set(xchg.HeaderTicket, p.Ticket)
 	}
+	if v.stream != nil {
+		// Without this the answer would wait until the caller has sent its whole body.
+		v.writer.Header().Set("Connection", "close")
+	}
 	writeProblem(v.writer, p)
 }
 
@@ -99,6 +103,9 @@
 	case effect.NotRun:
 		return "the request did not run and will not; it is safe to send it again"
 	case effect.Running:
+		if e.Reason == effect.ReasonKey {
+			return "the request runs; send it again with its key for its answer"
+		}
 		return "the request runs; ask for its answer with the ticket"
 	case effect.Unknown, effect.Run:
 	}
