fix(core/gossip): trust no word of a peer from before a pause

Cause: a node that wakes takes the call of a peer that waited for it as word that its rules are the newest; so it did with what a peer had last confirmed up to fifteen seconds ago. It then took work by rules that had been replaced. Change: an event of versions tells when the node asked for them. Only an answer confirms, as of the time of asking; after a pause it must be three seconds young. Before: two cases of TestOldWordAfterPause end Fresh. After: they pass.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -103,8 +103,11 @@
 
 // Told tells the versions that a peer holds.
 type Told struct {
-	At   time.Time
-	Peer string
+	At time.Time
+	// Asked is the time at which the node asked. It is zero where the peer told
+	// unasked, so that its word may have waited for this node for any time.
+	Asked time.Time
+	Peer  string
 	// Control is the address at which the peer answers calls, or the zero value where it is not told.
 	Control  netip.AddrPort
 	Versions Versions
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -262,10 +262,14 @@
 	if g.rules.Wants(e.Versions.Rules) {
 		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
 	}
-	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime {
+	if e.Asked.IsZero() {
+		return Change{}, out
+	}
+	learned := e.Asked.Add(-e.Versions.Age)
+	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime || g.trust.isTooOld(learned) {
 		return Change{Trust: g.trust.fail()}, out
 	}
-	g.rules.Confirm(e.At.Add(-e.Versions.Age))
+	g.rules.Confirm(learned)
 	return Change{Trust: g.trust.confirm()}, out
 }
 
--- a/core/gossip/trust.go
+++ b/core/gossip/trust.go
@@ -16,6 +16,8 @@
 	checkTime = 500 * time.Millisecond
 	// recheckTime is the time between two checks of a view that nobody confirms.
 	recheckTime = time.Second
+	// pauseAge is the age up to which a peer's word ends a check after a pause.
+	pauseAge = 3 * time.Second
 )
 
 // Trust tells whether new work may be taken on a view.
@@ -41,11 +43,19 @@
 	degree  Trust
 	pending int
 	since   time.Time
+	// checked is the time of the last check after a pause.
+	checked time.Time
 }
 
 // Trust returns the trust in the rules of this node.
 func (g *Gossip) Trust() Trust { return g.trust.degree }
 
+// isTooOld reports whether what was learned at a time cannot end the check of a
+// view that was held over a pause.
+func (t *trust) isTooOld(learned time.Time) bool {
+	return t.degree != Fresh && learned.Before(t.checked.Add(-pauseAge))
+}
+
 // confirm takes over that the view is the newest, and reports whether that is a change.
 func (t *trust) confirm() bool {
 	changed := t.degree != Fresh
@@ -80,6 +90,7 @@
 func (g *Gossip) check(at time.Time, random uint64, out []effect.Effect) []effect.Effect {
 	g.trust.degree = Checking
 	g.trust.since = at
+	g.trust.checked = at
 	before := len(out)
 	g.reads[event.Rules].pending = true
 	out = append(out, effect.Fetch{Document: event.Rules, After: g.rules.Version().Revision})
--- /dev/null
+++ b/core/gossip/trust_test.go
@@ -0,0 +1,39 @@
+package gossip_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/event"
+	"bulrushlock/core/gossip"
+)
+
+// TestOldWordAfterPause lets a node that wakes hear of the versions of a peer.
+func TestOldWordAfterPause(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		asked bool
+		age   time.Duration
+		want  gossip.Trust
+	}{
+		{"told unasked, perhaps before the pause", false, 0, gossip.Checking},
+		{"asked, and confirmed before the pause", true, 10 * time.Second, gossip.Checking},
+		{"asked, and confirmed lately", true, time.Second, gossip.Fresh},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newGossip(c, "a", instances)
+			woken := began.Add(time.Minute)
+			g.Tick(event.Tick{At: woken}, true, nil)
+			e := event.Told{At: woken, Peer: "b", Versions: g.Versions(woken)}
+			e.Versions.Age = test.age
+			if test.asked {
+				e.Asked = woken
+			}
+			g.Told(e, nil)
+			c.Assert(g.Trust(), qt.Equals, test.want)
+		})
+	}
+}
--- a/core/proof/carry_test.go
+++ b/core/proof/carry_test.go
@@ -332,7 +332,10 @@
 			return
 		}
 		w.post(&message{from: g, to: p, lose: lose, run: func() {
-			_ = asked
+			if w.now.Sub(asked) > e.Wait+readTime {
+				w.step(p, event.Unread{At: w.now, Document: e.Document, From: from})
+				return
+			}
 			if revision <= e.After {
 				w.step(p, event.Unchanged{At: w.now, Document: e.Document, From: from})
 				return
@@ -352,11 +355,16 @@
 		lose()
 		return
 	}
+	asked := w.now
 	w.post(&message{from: p, to: g, lose: lose, run: func() {
 		w.step(g, event.Told{At: w.now, Peer: p.node.Instance, Control: p.instance.Control, Versions: e.Versions})
 		v := g.reducer.Versions(w.now)
 		w.post(&message{from: g, to: p, lose: lose, run: func() {
-			w.step(p, event.Told{At: w.now, Peer: g.node.Instance, Control: g.instance.Control, Versions: v})
+			if w.now.Sub(asked) > callTime {
+				w.step(p, event.Silent{At: w.now, Peer: e.Peer.Name})
+				return
+			}
+			w.step(p, event.Told{At: w.now, Asked: asked, Peer: g.node.Instance, Control: g.instance.Control, Versions: v})
 		}})
 	}})
 }
--- a/core/proof/platform_test.go
+++ b/core/proof/platform_test.go
@@ -23,6 +23,13 @@
 	readBurst = 8
 )
 
+const (
+	// readTime is the time after which the answer of the platform counts as none.
+	readTime = 2 * time.Second
+	// callTime is the time after which the answer of a peer counts as none.
+	callTime = 400 * time.Millisecond
+)
+
 // platformName stands for the platform at the end of a link.
 const platformName = "platform"
 
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -344,11 +344,52 @@
 	return joined
 }
 
-func TestAnyFault(t *testing.T) {
+// check runs random sequences of the traffic and the given actions.
+func check(t *testing.T, faults ...func(*world) actions) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.calm(2 * time.Second)
-		t.Repeat(join(w.traffic(), w.networkFaults(), w.processFaults(), w.serverFaults(), w.operations()))
+		all := []actions{w.traffic()}
+		for _, f := range faults {
+			all = append(all, f(w))
+		}
+		t.Repeat(join(all...))
 		w.recover()
 	})
 }
+
+// only returns a part of actions.
+func only(of func(*world) actions, names ...string) func(*world) actions {
+	return func(w *world) actions {
+		all, part := of(w), actions{}
+		for _, n := range names {
+			part[n] = all[n]
+		}
+		return part
+	}
+}
+
+func TestAnyFault(t *testing.T) {
+	check(t, (*world).networkFaults, (*world).processFaults, (*world).serverFaults, (*world).operations)
+}
+
+func TestBrokenExchanges(t *testing.T) {
+	check(t, (*world).networkFaults, only((*world).processFaults, "kill", "replace"))
+}
+
+func TestServersTurnBad(t *testing.T) {
+	check(t, (*world).serverFaults, only((*world).processFaults, "replace", "pause", "wake"))
+}
+
+func TestSleepers(t *testing.T) {
+	check(t, only((*world).processFaults, "pause", "wake"), only((*world).operations, "publish", "list all"))
+}
+
+func TestViews(t *testing.T) {
+	check(t, (*world).operations, (*world).networkFaults, only((*world).processFaults, "replace", "leave"))
+}
+
+func TestKeys(t *testing.T) {
+	check(t, (*world).sleep, only((*world).operations, "list", "list all", "publish"),
+		only((*world).processFaults, "pause", "wake", "replace"), only((*world).networkFaults, "lose", "break"))
+}
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -156,12 +156,19 @@
 
 // tell exchanges versions with a peer.
 func (c *Carrier) tell(e effect.Tell) {
+	asked := time.Now()
 	a, err := c.wire.Tell(c.context, e.Peer.Control, e.Versions)
 	if err != nil {
 		c.loop.Do(event.Silent{At: time.Now(), Peer: e.Peer.Name})
 		return
 	}
-	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Control: e.Peer.Control, Versions: a.Versions})
+	c.loop.Do(event.Told{
+		At:       time.Now(),
+		Asked:    asked,
+		Peer:     a.From.Instance,
+		Control:  e.Peer.Control,
+		Versions: a.Versions,
+	})
 }
 
 // bootstrap reads both documents from a node that the settings name, and goes on
