--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -297,7 +297,7 @@
 		p.paused = false
 	}
 	for i, p := range w.processes {
-		if !p.alive || p.left {
+		if !p.alive || p.left || p.instance.Service != "ledger" {
 			w.kill(p)
 			w.start(i, fmt.Sprintf("k%d", w.number()), "ledger")
 			p = w.processes[i]
