feat(io/conf): set the lag within which the owner of a key is certain

Cause: after a start or a change of owner a guard refuses keys for twice the lag of the list, which was fixed at two minutes, too long for a small deployment whose list is prompt, and for a test with processes. Ruled out: taking a key marked as first at once; an old owner that lags would run its second sending. Change: the setting lag, two minutes by default.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -188,6 +188,7 @@
 		Service:     s.Service,
 		Refuse:      s.Isolated == conf.Refuse,
 		Drain:       s.Drain,
+		Lag:         s.Lag,
 	}, pick.NewAware())
 	d.loop = loop.New(n, loop.Options{
 		Instance: s.Instance,
