fix(core/gossip): ask a second peer for what the first did not give

Cause: of several peers that tell of a new version only the first was asked; where it could not be reached the word of the others was lost, and the node held old rules for more than three seconds. Change: a second teller is kept until the first one has answered. Before: TestASecondPeerIsAsked fails. After: it passes.

--- a/core/gossip/fetch_test.go
+++ b/core/gossip/fetch_test.go
@@ -37,6 +37,25 @@
 	c.Assert(tell(now.Add(time.Second), "i2"), qt.Equals, 1)
 }
 
+// TestASecondPeerIsAsked lets the first peer that told of a version fail to give it.
+func TestASecondPeerIsAsked(t *testing.T) {
+	c := qt.New(t)
+	g := newGossip(c, "a", instances)
+	newer := event.Versions{Rules: view.Version{Revision: 2, Digest: 7}, Fleet: g.Versions(began).Fleet}
+	for _, peer := range []string{"b", "c"} {
+		g.Told(event.Told{At: began, Peer: peer, Versions: newer}, nil)
+	}
+	g.Unread(event.Unread{At: began, Document: event.Rules, From: event.Source{Peer: "b"}}, 0)
+	_, out := g.Tick(event.Tick{At: began}, false, nil)
+	var asked []string
+	for _, e := range out {
+		if f, ok := e.(effect.Fetch); ok && f.Peer != nil {
+			asked = append(asked, f.Peer.Name)
+		}
+	}
+	c.Assert(asked, qt.DeepEquals, []string{"c"})
+}
+
 func TestAPeerThatIsNotListedIsAskedAtItsAddress(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -75,6 +75,9 @@
 	// wanted is the version that a peer was asked for at the time asked.
 	wanted view.Version
 	asked  time.Time
+	// other is a second peer that told of the version spare meanwhile, or is nil.
+	other *fleet.Instance
+	spare view.Version
 }
 
 // New returns the empty views of the node of the given instance.
@@ -314,12 +317,31 @@
 		return out
 	}
 	if r.wanted.Compare(v) >= 0 && at.Sub(r.asked) < fetchTime {
+		r.other, r.spare = p, v
 		return out
 	}
 	r.wanted, r.asked = v, at
 	return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
 }
 
+// askOther asks the second peer for what the first one did not give.
+func (g *Gossip) askOther(d event.Document, at time.Time, out []effect.Effect) []effect.Effect {
+	r := &g.reads[d]
+	p, v := r.other, r.spare
+	if p == nil || r.wanted != (view.Version{}) && at.Sub(r.asked) < fetchTime {
+		return out
+	}
+	r.other = nil
+	isWanted := g.rules.Wants(v)
+	if d == event.Fleet {
+		isWanted = g.fleet.Wants(v)
+	}
+	if !isWanted {
+		return out
+	}
+	return g.fetchFrom(at, d, p, v, out)
+}
+
 // Unchanged takes over that a source holds nothing newer.
 func (g *Gossip) Unchanged(e event.Unchanged, out []effect.Effect) (Change, []effect.Effect) {
 	g.done(e.Document, e.From)
@@ -399,6 +421,7 @@
 
 // readIfDue asks the platform for a document whose next read is due.
 func (g *Gossip) readIfDue(d event.Document, e event.Tick, out []effect.Effect) []effect.Effect {
+	out = g.askOther(d, e.At, out)
 	r := &g.reads[d]
 	if r.pending || e.At.Before(r.next) {
 		return out
