--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -302,7 +302,8 @@
 			w.start(i, fmt.Sprintf("k%d", w.number()), "ledger")
 			p = w.processes[i]
 		}
-		*p.server = server{running: p.server.running, completed: p.server.completed}
+		s := p.server
+		s.cold, s.draining, s.refuses, s.sheds, s.fails = false, false, false, false, false
 	}
 	w.publishRules(nil)
 	w.publishFleet(nil)
