--- a/core/proof/oracle_test.go
+++ b/core/proof/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -16,6 +17,8 @@
 	lagTime = 2 * time.Minute
 	// spreadTime is the time within which a document is in force wherever it can be read.
 	spreadTime = 3 * time.Second
+	// windowTime is the longest window over which a budget is checked.
+	windowTime = time.Minute
 )
 
 // request is what a caller wants to have done once, however often it sends it.
@@ -109,8 +112,9 @@
 	}
 }
 
-// spent checks that no window holds more events than the rate and the burst allow.
+// spent checks that no window of up to a minute holds more events than the rate and the burst allow.
 func (w *world) spent(what string, times *[]time.Time, rate, burst int) {
+	*times = slices.DeleteFunc(*times, func(at time.Time) bool { return w.now.Sub(at) > windowTime })
 	*times = append(*times, w.now)
 	for i, at := range *times {
 		allowed := float64(burst) + float64(rate)*w.now.Sub(at).Seconds()
