test(core/proof): let a caller send again what did not run

A trace of TestKeys (fresh) shows the case: a caller was told not-run, sent the same key again six minutes later, and it ran once. That is what not-run is for. The check held the answer against the new sending as well. It still fails when a request runs twice, and when a request is answered not-run after it ran or runs after it without having been sent again.

--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -98,6 +98,8 @@
 		w.requests = append(w.requests, r)
 	} else {
 		r.first = false
+		// A caller may well send again what it was told did not run.
+		r.refused = false
 	}
 	s := &sending{request: r, entry: p, id: w.number()}
 	w.sendings = append(w.sendings, s)
