--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -151,7 +151,8 @@
 		"replace": func(t *rapid.T) {
 			place := rapid.IntRange(0, places-1).Draw(t, "place")
 			old := w.processes[place]
-			if old.alive && !(old.paused && rapid.Bool().Draw(t, "lives on")) {
+			livesOn := old.paused && rapid.Bool().Draw(t, "lives on")
+			if old.alive && !livesOn {
 				w.kill(old)
 			}
 			switch rapid.IntRange(0, 3).Draw(t, "as") {
@@ -358,6 +359,7 @@
 
 // check runs random sequences of the traffic and the given actions.
 func check(t *testing.T, faults ...func(*world) actions) {
+	var s service
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.calm(2 * time.Second)
@@ -366,8 +368,35 @@
 			all = append(all, f(w))
 		}
 		t.Repeat(join(all...))
+		s.add(w)
 		w.recover()
 	})
+	t.Logf("per 1,000 sendings: %v", s)
+}
+
+// service counts what callers were told while faults went on.
+type service struct {
+	sent     int
+	forwards int
+	counts   [4]int
+}
+
+// add adds what the callers of w were told.
+func (s *service) add(w *world) {
+	s.sent += len(w.sendings)
+	s.forwards += w.forwards
+	for i, n := range w.counts {
+		s.counts[i] += n
+	}
+}
+
+// String returns the counts in each thousand sendings. What is missing was not
+// answered before the faults ended.
+func (s service) String() string {
+	of := func(n int) int { return n * 1000 / max(s.sent, 1) }
+	return fmt.Sprintf("%d run, %d not-run, %d unknown, %d running, of %d; %d attempts",
+		of(s.counts[effect.Run]), of(s.counts[effect.NotRun]), of(s.counts[effect.Unknown]),
+		of(s.counts[effect.Running]), s.sent, of(s.forwards))
 }
 
 // only returns a part of actions.
