--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -75,10 +75,10 @@
 			name: p.name, service: p.service, settings: filepath.Join(s.folder, p.name+".yaml"),
 			callers: q[0], nodes: q[1], control: q[2], operators: q[3], server: q[4],
 		})
-		s.write(i, o)
 	}
 	s.startPlatform(rules)
 	for i := range s.instances {
+		s.write(i, o)
 		s.startServer(i)
 		s.startNode(i)
 	}
@@ -126,7 +126,7 @@
 		n.name, place[i].centre, n.service, n.callers, n.nodes, n.control, n.operators, n.server, s.address, drain)
 	if o.peers {
 		text += "peers:\n"
-		for _, p := range s.instances[:i] {
+		for _, p := range s.instances {
 			text += fmt.Sprintf("  - %v\n", p.control)
 		}
 	}
