--- a/cmd/main.go
+++ b/cmd/main.go
@@ -32,9 +32,14 @@
 // commands lists the functions that register the commands, in help order.
 var commands = []func(*kingpin.Application, streams){
 	registerCheck,
+	registerDemo,
+	registerExplain,
 	registerLoad,
 	registerNode,
 	registerStand,
+	registerStatus,
+	registerTimeline,
+	registerTrial,
 	registerVersion,
 	registerMeasure,
 }
--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -48,6 +48,7 @@
 // failed idempotent request may be repeated.
 func (n *Entry) ran(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
 	if e.Status >= statusServerError && n.mayRepeat(c, e.At) {
+		c.unsure = true
 		out = append(out, effect.Cancel{ID: c.id, Ticket: e.Ticket})
 		return n.forward(e.At, e.Random, c, effect.ReasonServer, out)
 	}
@@ -57,6 +58,16 @@
 	return append(out, effect.Relay{ID: c.id, Ticket: e.Ticket})
 }
 
+// running goes on after the guard has said that the request runs: under the
+// ticket of the attempt, or for an earlier sending of its key.
+func (n *Entry) running(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	if effect.Reason(e.Reason) == effect.ReasonKey {
+		c.last = nil
+		return n.reply(c, effect.Running, effect.ReasonKey, out)
+	}
+	return n.ask(c, askPause, out)
+}
+
 // mayRepeat reports whether c may be sent once more although an attempt of it
 // ran, and takes the repetition out of the budget.
 func (n *Entry) mayRepeat(c *call, now time.Time) bool {
@@ -71,16 +82,16 @@
 	if c.attempts >= mostAttempts || !now.Before(c.deadline) {
 		return false
 	}
-	if c.once || !n.hasUntried(c) {
+	if c.once || c.isKeyed() || !n.hasUntried(now, c) {
 		return false
 	}
 	return n.retries.Spend()
 }
 
-// hasUntried reports whether there is a backend server that c has not tried.
-func (n *Entry) hasUntried(c *call) bool {
+// hasUntried reports whether there is a backend server that c can still be sent to.
+func (n *Entry) hasUntried(now time.Time, c *call) bool {
 	for _, p := range n.services[c.route.Service] {
-		if !c.hasTried(p.instance.Name) {
+		if !c.hasTried(p.instance.Name) && !p.isLeaving(now) {
 			return true
 		}
 	}
@@ -102,6 +113,7 @@
 	if n.mayRetry(c, e.At) {
 		return n.forward(e.At, e.Random, c, reason, out)
 	}
+	c.cleared = e.Verdict == event.NotRun && reason != effect.ReasonLife && reason != effect.ReasonAddress
 	return n.reply(c, effect.NotRun, reason, out)
 }
 
@@ -115,17 +127,9 @@
 	return n.send(e.At, e.Random, c, p, out)
 }
 
-// running asks again after an attempt that the guard is still at. Where it is
-// another attempt of the same key that runs, only the key can be asked after.
-func (n *Entry) running(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
-	if effect.Reason(e.Reason) == effect.ReasonKey {
-		return n.reply(c, effect.Running, effect.ReasonKey, out)
-	}
-	return n.ask(c, askPause, out)
-}
-
 // broken goes on after an exchange that has left open whether the attempt ran.
 func (n *Entry) broken(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	c.unsure = c.route.Idempotent
 	if len(c.active) > 0 {
 		return out
 	}
@@ -159,10 +163,7 @@
 	case event.Ran:
 		return n.ranBefore(c, e, out)
 	case event.NotRun:
-		if !c.recovers && n.mayRetry(c, e.At) {
-			return n.forward(e.At, e.Random, c, effect.ReasonVoid, out)
-		}
-		return n.reply(c, effect.NotRun, effect.ReasonVoid, out)
+		return n.voided(c, e, out)
 	case event.Running:
 		if e.At.Before(c.deadline) {
 			return n.ask(c, askPause, out)
@@ -178,6 +179,14 @@
 	return n.reply(c, effect.Unknown, effect.ReasonBroken, out)
 }
 
+// voided goes on after a guard has said that the last attempt of c did not run.
+func (n *Entry) voided(c *call, e event.Judged, out []effect.Effect) []effect.Effect {
+	if !c.recovers && n.mayRetry(c, e.At) {
+		return n.forward(e.At, e.Random, c, effect.ReasonVoid, out)
+	}
+	return n.reply(c, effect.NotRun, effect.ReasonVoid, out)
+}
+
 // ranBefore gives the kept answer of an attempt to the caller, if it is still there.
 func (n *Entry) ranBefore(c *call, e event.Judged, out []effect.Effect) []effect.Effect {
 	if !e.Kept {
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -25,7 +25,7 @@
 
 const (
 	// KeyWindow is the time for which a key is remembered.
-	KeyWindow = 10 * time.Minute
+	KeyWindow = 12 * time.Minute
 	// recordKeep is the time for which the ledger remembers an ended attempt.
 	recordKeep = KeyWindow
 	// recordCapacity is the number of attempts that the ledger remembers.
@@ -53,6 +53,8 @@
 	Hold bool
 	// Owner tells that this guard owns the key of the attempt.
 	Owner bool
+	// Recent tells that this guard has owned the key for longer than any other view lags.
+	Recent bool
 	// Settled tells that this guard has owned the key long enough to know whether it ran.
 	Settled bool
 }
@@ -73,6 +75,8 @@
 	leaving  bool
 	draining bool
 	down     bool
+	// toldCold tells that the backend server called itself cold when it was last looked at.
+	toldCold bool
 }
 
 // work is an attempt that the backend server runs now.
@@ -164,7 +168,7 @@
 		out = g.refuse(g.waiters[arrival], r, out)
 	}
 	for _, e := range g.held {
-		out = append(out, effect.Deny{Arrival: e.Arrival, Outcome: effect.NotRun, Reason: r})
+		out = g.refuse(e, r, out)
 	}
 	g.held = g.held[:0]
 	return out
@@ -183,21 +187,20 @@
 // Looked takes over what the backend server tells of itself. It can only make
 // the guard more careful: a server that calls itself warm does not end the ramp.
 func (g *Guard) Looked(e event.Looked, out []effect.Effect) []effect.Effect {
-	g.draining = e.Condition == event.Draining
-	switch e.Condition {
-	case event.Unreachable:
+	if e.Condition == event.Unreachable {
 		out = g.TurnCold("no answer to a look", out)
-	case event.Cold:
-		g.down = false
-		if !g.ramp.IsCold() {
-			out = g.TurnCold("told by the backend server", out)
-		}
-	case event.Draining:
-		g.down = false
-		out = g.refuseWaiting(effect.ReasonLeaving, out)
-	case event.Warm:
-		g.down = false
+		return g.grant(e.At, out)
+	}
+	g.down = false
+	g.draining = e.Condition == event.Draining
+	if g.draining {
+		return g.refuseWaiting(effect.ReasonLeaving, out)
+	}
+	isCold := e.Condition == event.Cold
+	if isCold && (!g.toldCold || !g.ramp.IsCold()) {
+		out = g.TurnCold("told by the backend server", out)
 	}
+	g.toldCold = isCold
 	return g.grant(e.At, out)
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -27,8 +27,8 @@
 const (
 	// pauseTime is the time without a tick after which a node takes it that it was paused.
 	pauseTime = time.Second
-	// listLag is the longest lag of the list of instances for which the owner of a key is certain.
-	listLag = 2 * time.Minute
+	// defaultLag is the lag of views that is allowed for where the identity has none.
+	defaultLag = 2 * time.Minute
 )
 
 // Identity tells what a node stands for.
@@ -41,6 +41,9 @@
 	Refuse bool
 	// Drain is the time for which a leaving node stays to refuse late senders.
 	Drain time.Duration
+	// Lag is the longest lag of a view, and the longest flight of an attempt, for
+	// which the owner of a key is certain; zero stands for two minutes.
+	Lag time.Duration
 }
 
 // Node is the reducer. It is not safe for use by several goroutines at once.
@@ -49,12 +52,21 @@
 	entry    *entry.Entry
 	guard    *guard.Guard
 	gossip   *gossip.Gossip
-	history  *owner.History
+	// settled and recent are the members of the service: those that are known
+	// without a gap, and those that this node has seen.
+	settled *owner.History
+	recent  *owner.History
+	// observed are the versions of the last membership in the history.
+	observed event.Versions
 	looks    *bucket.Bucket
 	probes   *bucket.Bucket
 	probed   *bucket.Bucket
 	last     time.Time
 	left     time.Time
+	// listed tells that the list of instances says that this one is leaving.
+	listed bool
+	// members are the instances that may own keys of the service of this node.
+	members  []string
 	out      bool
 	finished bool
 }
@@ -62,14 +74,20 @@
 // New returns the reducer of one life of a node.
 func New(i Identity, p pick.Policy) *Node {
 	self := ticket.Node{Instance: i.Instance, Incarnation: i.Incarnation}
-	history := owner.New(guard.KeyWindow + listLag)
-	history.Service = i.Service
+	if i.Lag == 0 {
+		i.Lag = defaultLag
+	}
+	settled := owner.New(guard.KeyWindow + 2*i.Lag)
+	settled.Service = i.Service
+	recent := owner.New(2 * i.Lag)
+	recent.Service = i.Service
 	return &Node{
 		identity: i,
 		entry:    entry.New(entry.Identity{Node: self, Centre: i.Centre}, p),
 		guard:    guard.New(guard.Identity{Node: self, Centre: i.Centre, Service: i.Service}),
 		gossip:   gossip.New(i.Instance, i.Centre),
-		history:  history,
+		settled:  settled,
+		recent:   recent,
 		looks:    bucket.New(1, 1),
 		probes:   bucket.New(0, 0),
 		probed:   bucket.New(0, 0),
@@ -95,6 +113,7 @@
 		out = n.stepGossip(e, out)
 	case event.Tick:
 		out = n.tick(e, false, out)
+		out = n.finish(e.At, out)
 	case event.Leave:
 		out = n.leave(e, out)
 	}
@@ -104,10 +123,17 @@
 // wake notices that the node was paused before e came.
 func (n *Node) wake(e event.Event, out []effect.Effect) []effect.Effect {
 	at := e.Time()
-	if at.Sub(n.last) <= pauseTime {
+	gap := at.Sub(n.last)
+	if gap <= pauseTime {
 		return out
 	}
+	if gap > n.identity.Lag {
+		n.settled.Forget()
+		n.recent.Forget()
+	}
 	n.last = at
+	// Senders that the node could not refuse while it was paused get their time now.
+	n.left = at
 	out = append(out, effect.Note{Kind: effect.KindPause})
 	out = n.guard.TurnCold("the node was paused", out)
 	return n.tick(event.Tick{At: at, Random: randomOf(e)}, true, out)
@@ -171,7 +197,7 @@
 // attempt takes an attempt that has arrived at the guard.
 func (n *Node) attempt(e event.Attempt, out []effect.Effect) []effect.Effect {
 	if n.gossip.Behind(e.Rules) {
-		out = n.gossip.CatchUp(e.Ticket.Entry.Instance, out)
+		out = n.gossip.CatchUp(e.At, e.Ticket.Entry.Instance, e.Rules, out)
 	}
 	return n.guard.Attempt(e, n.gate(e), out)
 }
@@ -183,9 +209,13 @@
 	if e.Key == "" {
 		return gate
 	}
-	name, ok := owner.Of(e.Key, n.identity.Service, n.members())
+	name, ok := owner.Of(e.Key, n.identity.Service, n.members)
 	gate.Owner = ok && name == n.identity.Instance
-	gate.Settled = n.gossip.FleetAge(e.At) < listLag && n.history.Settled(e.At, e.Key, n.identity.Instance)
+	if max(n.gossip.FleetAge(e.At), n.gossip.Age(e.At)) >= n.identity.Lag {
+		return gate
+	}
+	gate.Recent = n.recent.Settled(e.At, e.Key, n.identity.Instance)
+	gate.Settled = n.settled.Settled(e.At, e.Key, n.identity.Instance)
 	return gate
 }
 
@@ -197,7 +227,7 @@
 		return effect.ReasonRules
 	case s.IsOut(n.identity.Instance, n.identity.Centre):
 		return effect.ReasonOut
-	case n.listedLeaving():
+	case n.listed:
 		return effect.ReasonLeaving
 	case n.identity.Refuse && n.gossip.Trust() == gossip.Alone:
 		return effect.ReasonOld
@@ -205,33 +235,6 @@
 	return ""
 }
 
-// listedLeaving reports whether the list says that this instance is leaving.
-func (n *Node) listedLeaving() bool {
-	instances, _ := n.gossip.Fleet()
-	for i := range instances {
-		if instances[i].Name == n.identity.Instance {
-			return instances[i].Leaving
-		}
-	}
-	return false
-}
-
-// members returns the instances that may own keys of the service of this node.
-func (n *Node) members() []string {
-	s, ok := n.gossip.Rules()
-	if !ok {
-		return nil
-	}
-	instances, _ := n.gossip.Fleet()
-	var names []string
-	for _, i := range instances {
-		if i.Service == n.identity.Service && !i.Leaving && !s.IsOut(i.Name, i.Centre) {
-			names = append(names, i.Name)
-		}
-	}
-	return names
-}
-
 // Status is what operators see of a node.
 type Status struct {
 	Identity Identity
@@ -258,6 +261,9 @@
 	}
 }
 
+// Peers returns what the entry knows of each backend server of a service.
+func (n *Node) Peers(at time.Time, service string) []entry.State { return n.entry.States(at, service) }
+
 // Versions returns the versions of the documents that the node holds.
 func (n *Node) Versions(at time.Time) event.Versions { return n.gossip.Versions(at) }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -63,6 +63,7 @@
 	logger   *slog.Logger
 	loop     *loop.Loop
 	carrier  *carry.Carrier
+	meter    *meter.Meter
 	link     *link.Link
 	control  net.Listener
 	servers  []*http.Server
@@ -92,6 +93,24 @@
 	callers, nodes, control, operators net.Listener
 }
 
+// settings returns a copy of s with the addresses that the listeners really have.
+func (l listeners) settings(s *conf.Settings) *conf.Settings {
+	c := *s
+	c.Callers = addressOf(l.callers)
+	c.Nodes = addressOf(l.nodes)
+	c.Control = addressOf(l.control)
+	c.Operators = addressOf(l.operators)
+	return &c
+}
+
+// addressOf returns the address of a TCP listener.
+func addressOf(l net.Listener) netip.AddrPort {
+	if a, ok := l.Addr().(*net.TCPAddr); ok {
+		return a.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
 // New starts a node. It fails with a *ListenError.
 func New(s *conf.Settings, logger *slog.Logger) (*Daemon, error) {
 	l, err := listen(s)
@@ -99,7 +118,7 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s,
+		settings: l.settings(s),
 		logger:   logger.With("instance", s.Instance, "centre", s.Centre),
 		control:  l.control,
 		finished: make(chan struct{}),
@@ -154,6 +173,7 @@
 	}, reportTime)
 	d.metrics = closer
 	m := meter.New(scope, "control")
+	d.meter = m
 	self := ticket.Node{Instance: s.Instance, Incarnation: rand.Uint64()}
 	d.carrier = carry.New(carry.Options{
 		Platform: plat.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{DialContext: m.Dialer(&net.Dialer{})}}),
@@ -177,7 +197,7 @@
 		Carry:    d.carrier.Do,
 	})
 	l.control = m.Listener(l.control)
-	w := wire.New(d.loop, self, m.Dialer(&net.Dialer{}))
+	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(&net.Dialer{}))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
 }
 
@@ -217,6 +237,19 @@
 	return turns.New(&net.Dialer{Timeout: dialTime}, serverConnections, idleTime)
 }
 
+// Settings returns the settings of the node. A port that the system chose stands
+// in place of port 0.
+func (d *Daemon) Settings() conf.Settings { return *d.settings }
+
+// Versions returns the versions of the documents that the node holds.
+func (d *Daemon) Versions() event.Versions {
+	_, v := d.loop.Load()
+	return v
+}
+
+// Traffic returns the bytes of control traffic that the node has received and sent.
+func (d *Daemon) Traffic() (received, sent int64) { return d.meter.Total() }
+
 // Leave makes the node refuse new work, finish what is under way, and end.
 func (d *Daemon) Leave() {
 	d.loop.Do(event.Leave{At: time.Now()})
