--- a/io/client/client.go
+++ b/io/client/client.go
@@ -118,7 +118,7 @@
 		Scope:    o.Scope,
 		Carry:    c.carrier.Do,
 	})
-	w := wire.New(c.loop, self, (&net.Dialer{}).DialContext)
+	w := wire.New(c.loop, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
 	c.link = link.New(c.loop)
 	c.front = front.New(c.loop, front.Options{Self: self.Instance, Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope})
 	c.carrier.Start(c.loop, w)
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -31,7 +31,7 @@
 // newReader returns a reader that holds the defaults.
 func newReader() *reader {
 	r := &reader{
-		settings: Settings{Isolated: Serve, Drain: defaultDrain},
+		settings: Settings{Isolated: Serve, Drain: defaultDrain, Lag: defaultLag},
 		seen:     make(map[string]ast.Node),
 	}
 	s := &r.settings
@@ -47,7 +47,8 @@
 		{name: "platform", read: r.targetInto("platform", &s.Platform)},
 		{name: "peers", optional: true, read: r.readPeers},
 		{name: "isolated", optional: true, read: r.readIsolated},
-		{name: "drain", optional: true, read: r.readDrain},
+		{name: "drain", optional: true, read: r.timeInto("drain", &s.Drain, 0, longestDrain)},
+		{name: "lag", optional: true, read: r.timeInto("lag", &s.Lag, shortestLag, longestLag)},
 	}
 	return r
 }
