fix(core/gossip): note an invalid document once

Cause: a node reads the platform again while an invalid document stands there, and noted each read, with a line of log a second from every watcher. Ruled out: reading on from the refused revision, as a valid revision that was missed could then look confirmed. Change: a revision is noted when it is refused first, and counted each time. Before: TestBadRulesAreRefusedAndTheLastGoodOnesStay counted three lines for two texts within two seconds. Conclusion: log lines tell changes of state only.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -75,6 +75,8 @@
 	// wanted is the version that a peer was asked for at the time asked.
 	wanted view.Version
 	asked  time.Time
+	// refused is the last revision that was refused.
+	refused uint64
 }
 
 // New returns the empty views of the node of the given instance.
@@ -148,7 +150,7 @@
 	verdict, err := g.offer(e)
 	if err != nil {
 		g.delay(e, e.Document, e.From, random)
-		return Change{}, append(out, effect.Note{Kind: effect.KindInvalid, Text: invalidText(e, err)})
+		return Change{}, g.noteInvalid(e, err, out)
 	}
 	switch verdict {
 	case view.Taken:
@@ -169,6 +171,16 @@
 	return g.rules.Offer(e.Text, e.Revision, e.At)
 }
 
+// noteInvalid counts a document that was refused, and notes it when its revision is read first.
+func (g *Gossip) noteInvalid(e event.Read, err error, out []effect.Effect) []effect.Effect {
+	out = append(out, effect.Count{Name: "invalid_document"})
+	if g.reads[e.Document].refused == e.Revision {
+		return out
+	}
+	g.reads[e.Document].refused = e.Revision
+	return append(out, effect.Note{Kind: effect.KindInvalid, Text: invalidText(e, err)})
+}
+
 // invalidText describes a document that was refused.
 func invalidText(e event.Read, err error) string {
 	var i *view.InvalidError
