fix(io/daemon): close no kept connection under a request that comes

Cause: a leaving node closed all connections that were not in use at once, so requests that came at that moment were cut off without an answer. Ruled out: leaving them open until the end, as callers would not move away. Change: while a node leaves, each answer is the last one on its connection; a connection that is not used is closed at the end, after the drain. Before: TestLeavingNodeAnswersRequestsOnKeptConnections failed on each of 20 connections. After: it passes, with the tests of a leaving node under load and with two long exports. Conclusion: a graceful shutdown cuts off no request on a kept connection that comes within the drain.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -68,6 +69,7 @@
 	control  net.Listener
 	servers  []*http.Server
 	metrics  interface{ Close() error }
+	leaving  atomic.Bool
 	finished chan struct{}
 	once     sync.Once
 	ended    chan struct{}
@@ -218,7 +220,7 @@
 // add serves h on l.
 func (d *Daemon) add(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler:           h,
+		Handler:           &parting{handler: h, leaving: &d.leaving},
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
@@ -254,9 +256,7 @@
 // Leave makes the node refuse new work, finish what is under way, and end.
 func (d *Daemon) Leave() {
 	d.loop.Do(event.Leave{At: time.Now()})
-	for _, s := range d.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
+	d.leaving.Store(true)
 }
 
 // Wait returns when the node has ended.
