test(io/link): send no attempt twice, and take no answer of another one

Cause: nothing showed that the transport of net/http never sends an attempt again by itself on a kept connection that its peer closes. Ruled out: testing the transport alone, as the body that it is given decides. Change: a listener that reads requests and closes, with empty and small bodies and an Idempotency-Key; answers with another ticket, none, or no outcome; a guard that is not there or silent; and the fields that an attempt carries. Before: not tested.

--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,200 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/depth"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/xchg"
+)
+
+// guard is the node that the attempts of these tests are for.
+var guard = ticket.Node{Instance: "filing-1", Incarnation: 7}
+
+// newLink returns the link of a node without rules.
+func newLink(c *qt.C) *Link {
+	n := node.New(node.Identity{Instance: "desk-1", Incarnation: 3, Centre: "north", Service: "desk"}, pick.NewAware())
+	l := loop.New(n, loop.Options{
+		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {},
+	})
+	c.Cleanup(l.Stop)
+	k := New(l)
+	c.Cleanup(k.Close)
+	return k
+}
+
+// sequence numbers the attempts of all tests.
+var sequence atomic.Uint64
+
+// offer returns a new claim for the guard at an address.
+func offer(a net.Addr, body string) xchg.Offer {
+	return xchg.Offer{
+		Ticket: ticket.Ticket{
+			Entry: ticket.Node{Instance: "desk-1", Incarnation: 3}, Sequence: sequence.Add(1), Guard: guard, Service: "filing",
+		},
+		Peer:   fleet.Instance{Name: guard.Instance, Nodes: netip.MustParseAddrPort(a.String())},
+		Method: http.MethodPost,
+		Target: "/claims",
+		Header: http.Header{"Idempotency-Key": {"k"}},
+		Body:   strings.NewReader(body),
+		Length: int64(len(body)),
+		Call:   depth.Call{Depth: 1, Left: 5 * time.Second},
+		Head:   5 * time.Second,
+	}
+}
+
+// serve starts a guard that calls answer with each request and its connection,
+// and returns its address and the number of requests that it has read.
+func serve(c *qt.C, answer func(n int32, r *http.Request, conn net.Conn)) (net.Addr, *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int32
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					answer(requests.Add(1), r, conn)
+				}
+			}()
+		}
+	}()
+	return l.Addr(), &requests
+}
+
+// ran writes the answer of a guard whose backend server ran the attempt t.
+func ran(conn net.Conn, t, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: run\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		xchg.HeaderTicket, t, xchg.HeaderOutcome, xchg.HeaderGuard, xchg.NodeText(guard), len(body), body)
+}
+
+func TestAttemptIsNeverSentAgainOnAnotherConnection(t *testing.T) {
+	for _, body := range []string{"", "claim"} {
+		t.Run("body "+body, func(t *testing.T) {
+			c := qt.New(t)
+			address, requests := serve(c, func(n int32, r *http.Request, conn net.Conn) {
+				if n == 1 {
+					ran(conn, r.Header.Get(xchg.HeaderTicket), "ok")
+					return
+				}
+				_ = conn.Close()
+			})
+			k := newLink(c)
+			a, err := k.Exchange(context.Background(), offer(address, body))
+			c.Assert(err, qt.IsNil)
+			text, err := io.ReadAll(a.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(text), qt.Equals, "ok")
+			c.Assert(a.Body.Close(), qt.IsNil)
+			_, err = k.Exchange(context.Background(), offer(address, body))
+			var broken *xchg.BrokenError
+			c.Assert(errors.As(err, &broken), qt.IsTrue)
+			c.Check(broken.Expired, qt.IsFalse)
+			c.Check(requests.Load(), qt.Equals, int32(2))
+		})
+	}
+}
+
+func TestUnreachableGuardIsUnsent(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = newLink(c).Exchange(context.Background(), offer(l.Addr(), "claim"))
+	var unsent *xchg.UnsentError
+	c.Check(errors.As(err, &unsent), qt.IsTrue)
+}
+
+func TestSilentGuardExpires(t *testing.T) {
+	c := qt.New(t)
+	address, _ := serve(c, func(int32, *http.Request, net.Conn) {})
+	o := offer(address, "claim")
+	o.Head = 50 * time.Millisecond
+	_, err := newLink(c).Exchange(context.Background(), o)
+	var broken *xchg.BrokenError
+	c.Assert(errors.As(err, &broken), qt.IsTrue)
+	c.Check(broken.Expired, qt.IsTrue)
+}
+
+func TestAnswerToAnotherAttemptIsBroken(t *testing.T) {
+	tests := []struct{ name, head string }{
+		{"another ticket", xchg.HeaderTicket + ": a.1.1.1.b.1.c\r\n" + xchg.HeaderOutcome + ": run\r\n"},
+		{"no ticket", xchg.HeaderOutcome + ": run\r\n"},
+		{"no outcome", xchg.HeaderTicket + ": TICKET\r\n"},
+		{"unknown outcome", xchg.HeaderTicket + ": TICKET\r\n" + xchg.HeaderOutcome + ": done\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, _ := serve(c, func(_ int32, r *http.Request, conn net.Conn) {
+				head := strings.ReplaceAll(tt.head, "TICKET", r.Header.Get(xchg.HeaderTicket))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+head+"\r\nno")
+			})
+			_, err := newLink(c).Exchange(context.Background(), offer(address, "claim"))
+			var wrong *AnswerError
+			c.Check(errors.As(err, &wrong), qt.IsTrue)
+		})
+	}
+}
+
+func TestAttemptCarriesItsFields(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan xchg.Offer, 1)
+	headers := make(chan http.Header, 1)
+	address, _ := serve(c, func(_ int32, r *http.Request, conn net.Conn) {
+		var o xchg.Offer
+		c.Check(xchg.ParseAttempt(r.Header.Get(xchg.HeaderAttempt), &o), qt.IsNil)
+		o.Versions, _ = xchg.ParseVersions(r.Header.Get(xchg.HeaderVersions))
+		o.Call, _ = depth.Parse(r.Header.Get(xchg.HeaderCall))
+		got <- o
+		headers <- r.Header
+		ran(conn, r.Header.Get(xchg.HeaderTicket), "ok")
+	})
+	o := offer(address, "claim")
+	o.Idempotent, o.Rank, o.Class, o.First = true, 2, 5, true
+	o.Versions = event.Versions{Age: time.Second}
+	o.Header = http.Header{"Bulrushlock-Load": {"forged"}, "Connection": {"X-Drop"}, "X-Drop": {"1"}, "X-Kept": {"1"}}
+	a, err := newLink(c).Exchange(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	c.Check(a.Guard, qt.Equals, guard)
+	c.Assert(a.Body.Close(), qt.IsNil)
+	sent, h := <-got, <-headers
+	c.Check(sent.Idempotent && sent.First, qt.IsTrue)
+	c.Check([]int{sent.Rank, sent.Class}, qt.DeepEquals, []int{2, 5})
+	c.Check(sent.Head, qt.Equals, o.Head)
+	c.Check(sent.Versions, qt.Equals, o.Versions)
+	c.Check(sent.Call, qt.Equals, o.Call)
+	c.Check(h.Get("X-Kept"), qt.Equals, "1")
+	c.Check(h.Get("X-Drop")+h.Get("Bulrushlock-Load"), qt.Equals, "")
+}
