--- a/cmd/nodes_test.go
+++ b/cmd/nodes_test.go
@@ -83,7 +83,7 @@
 			want: "" +
 				"2026-01-02T03:04:01.000000Z  ledger-1              patan       rules     revision 2\n" +
 				"2026-01-02T03:04:02.000000Z  ledger-2              patan       out       out\n" +
-				"2026-01-02T03:04:03.000000Z  ledger-1              patan       back    \n",
+				"2026-01-02T03:04:03.000000Z  ledger-1              patan       back\n",
 			errOut: "dropped: " + a + " has lost 7 older events\n",
 		},
 		{
--- a/cmd/timeline.go
+++ b/cmd/timeline.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -169,12 +170,12 @@
 
 // recordLine returns an event as a line for people.
 func recordLine(r loop.Record) string {
-	line := fmt.Sprintf("%s  %-20s  %-10s  %-8s", r.At.UTC().Format("2006-01-02T15:04:05.000000Z"), r.Instance, r.Centre, r.Kind)
-	if r.Text != "" {
-		line += "  " + r.Text
-	}
-	if r.Ticket != "" {
-		line += "  " + r.Ticket
+	at := r.At.UTC().Format("2006-01-02T15:04:05.000000Z")
+	line := fmt.Sprintf("%s  %-20s  %-10s  %-8s", at, r.Instance, r.Centre, r.Kind)
+	for _, part := range []string{r.Text, r.Ticket} {
+		if part != "" {
+			line += "  " + part
+		}
 	}
-	return line
+	return strings.TrimRight(line, " ")
 }
