--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -28,6 +28,8 @@
 	readTime = 2 * time.Second
 	// lookTime is the longest time of a look at the backend server.
 	lookTime = time.Second
+	// bootstrapTime is the time between two reads of a peer by a node that lacks a document.
+	bootstrapTime = 500 * time.Millisecond
 )
 
 // Options are what a Carrier works with.
@@ -49,6 +51,9 @@
 	context context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// mutex keeps effects from starting once Stop waits for those that run.
+	mutex   sync.Mutex
+	stopped bool
 }
 
 // New returns a carrier whose effects wait for Start.
@@ -70,6 +75,9 @@
 
 // Stop gives up what is under way and waits for its end.
 func (c *Carrier) Stop() {
+	c.mutex.Lock()
+	c.stopped = true
+	c.mutex.Unlock()
 	c.cancel()
 	c.running.Wait()
 }
@@ -92,6 +100,11 @@
 
 // spawn runs f beside the caller, once the carrier is started.
 func (c *Carrier) spawn(f func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stopped {
+		return
+	}
 	c.running.Go(func() {
 		select {
 		case <-c.ready:
@@ -109,6 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.context, e.Wait+readTime)
 	defer cancel()
+	deadline, _ := ctx.Deadline()
 	read := c.options.Platform.Rules
 	if e.Document == event.Fleet {
 		read = c.options.Platform.Instances
@@ -117,6 +131,9 @@
 	now := time.Now()
 	var unchanged *plat.UnchangedError
 	switch {
+	case now.After(deadline):
+		// The process slept, so the answer tells what was true before.
+		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	case errors.As(err, &unchanged):
 		c.loop.Do(event.Unchanged{At: now, Document: e.Document})
 	case err != nil:
@@ -144,14 +161,33 @@
 		c.loop.Do(event.Silent{At: time.Now(), Peer: e.Peer.Name})
 		return
 	}
-	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Versions: a.Versions})
+	c.loop.Do(event.Told{At: time.Now(), Peer: a.From.Instance, Control: e.Peer.Control, Versions: a.Versions})
 }
 
-// bootstrap reads both documents from a node that the settings name.
+// bootstrap reads both documents from a node that the settings name, and goes on
+// until this node has both of them from any source: the peer may start later.
 func (c *Carrier) bootstrap(peer netip.AddrPort) {
 	from := event.Source{Peer: peer.String()}
-	c.fetchFrom(peer, from, event.Rules)
-	c.fetchFrom(peer, from, event.Fleet)
+	t := time.NewTicker(bootstrapTime)
+	defer t.Stop()
+	for {
+		c.fetchFrom(peer, from, event.Rules)
+		c.fetchFrom(peer, from, event.Fleet)
+		if c.hasBoth() {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-c.context.Done():
+			return
+		}
+	}
+}
+
+// hasBoth reports whether this node has rules and a list of instances.
+func (c *Carrier) hasBoth() bool {
+	_, v := c.loop.Load()
+	return v.Rules.Revision > 0 && v.Fleet.Revision > 0
 }
 
 // look looks at the backend server beside this node.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -40,6 +40,7 @@
 	"bulrushlock/io/oper"
 	"bulrushlock/io/plat"
 	"bulrushlock/io/serve"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/wire"
 )
 
@@ -196,7 +197,7 @@
 		Carry:    d.carrier.Do,
 	})
 	l.control = m.Listener(l.control)
-	w := wire.New(d.loop, self, m.Dialer(&net.Dialer{}))
+	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(&net.Dialer{}))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
 }
 
@@ -215,7 +216,14 @@
 
 // add serves h on l.
 func (d *Daemon) add(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug)}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+
+		DisableGeneralOptionsHandler: true,
+	}
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -225,13 +233,8 @@
 }
 
 // serverTransport returns the transport to the backend server.
-func serverTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: serverConnections,
-		IdleConnTimeout:     idleTime,
-	}
+func serverTransport() *turns.Transport {
+	return turns.New(&net.Dialer{Timeout: dialTime}, serverConnections, idleTime)
 }
 
 // Settings returns the settings of the node. A port that the system chose stands
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
 
@@ -31,7 +32,7 @@
 	// Server is the address of the backend server beside the node.
 	Server netip.AddrPort
 	// Transport carries requests to the backend server.
-	Transport http.RoundTripper
+	Transport *turns.Transport
 }
 
 // Gate stands between all entries and one backend server.
@@ -55,7 +56,7 @@
 // The error is always nil: the guard of the same node can always be reached.
 func (g *Gate) Exchange(ctx context.Context, o xchg.Offer) (xchg.Answer, error) {
 	arrival, box := g.loop.Open()
-	p := &passage{gate: g, arrival: arrival, box: box, offer: o}
+	p := &passage{gate: g, arrival: arrival, box: box, offer: o, source: source{reader: o.Body}}
 	g.loop.Do(event.Attempt{
 		At:         time.Now(),
 		Ticket:     o.Ticket,
@@ -71,6 +72,8 @@
 	a := p.decide(ctx)
 	if a.Body == nil {
 		a.Body = http.NoBody
+	}
+	if _, open := a.Body.(*stream); !open {
 		g.loop.Close(arrival)
 	}
 	a.Guard = g.options.Node
@@ -85,6 +88,7 @@
 	arrival uint64
 	box     <-chan effect.Effect
 	offer   xchg.Offer
+	source  source
 }
 
 // decide follows the decisions of the guard until there is an answer.
