--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -212,11 +212,14 @@
 	}
 }
 
-// watcher reports whether the instance is one of the watchers among near.
+// watcher reports whether the instance is one of the watchers among near, or is not listed.
 func watcher(instance string, near []string) bool {
-	for i := range watchers {
-		name, ok := owner.Of(fmt.Sprintf("watch/%d", i), "platform", near)
-		if !ok || name == instance {
+	if !slices.Contains(near, instance) {
+		return true
+	}
+	for range watchers {
+		name, _ := owner.Of("watch", "platform", near)
+		if name == instance {
 			return true
 		}
 		near = slices.DeleteFunc(near, func(other string) bool { return other == name })
@@ -232,6 +235,9 @@
 	}
 	versions := g.Versions(at)
 	stride := 1 + (random>>32)%total
+	for hasCommonFactor(stride, total) {
+		stride++
+	}
 	for i := range min(uint64(count), total) {
 		p := g.others[(random+i*stride)%total]
 		out = append(out, effect.Tell{Peer: p, Versions: versions})
@@ -239,6 +245,14 @@
 	return out
 }
 
+// hasCommonFactor reports whether steps of a visit less than all of b peers.
+func hasCommonFactor(a, b uint64) bool {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a != 1
+}
+
 // Told takes over the versions of a peer.
 func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
 	p := g.teller(e)
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -29,10 +29,13 @@
 	Refuse = "refuse"
 )
 
-// Bounds and default of the key "drain".
+// Bounds and defaults of the keys "drain" and "lag".
 const (
 	defaultDrain = 3 * time.Second
 	longestDrain = time.Hour
+	defaultLag   = 2 * time.Minute
+	shortestLag  = time.Second
+	longestLag   = time.Hour
 )
 
 // Settings tell a node who it is, where it listens and whom it asks.
@@ -62,6 +65,9 @@
 	Isolated string
 	// Drain is the time that a leaving node keeps its listeners open for late senders.
 	Drain time.Duration
+	// Lag is the longest lag of a view for which the owner of a key is certain. It
+	// has to be the same on every node.
+	Lag time.Duration
 }
 
 // Fault is one thing that is wrong with a text of settings.
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -143,21 +143,23 @@
 	r.settings.Isolated = text
 }
 
-// readDrain reads the time that a leaving node keeps its listeners open.
-func (r *reader) readDrain(n ast.Node) {
-	const key, want = "drain", "a time with its unit such as 3s or 500ms"
-	text, ok := r.text(n, key, want)
-	if !ok {
-		return
-	}
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		r.add(n, key, fmt.Sprintf("must be %s, not %q", want, text))
-		return
-	}
-	if d < 0 || d > longestDrain {
-		r.add(n, key, fmt.Sprintf("must be from 0s to %s, not %s", longestDrain, d))
-		return
+// timeInto returns a function that reads a time between least and most into place.
+func (r *reader) timeInto(key string, place *time.Duration, least, most time.Duration) func(ast.Node) {
+	const want = "a time with its unit such as 3s or 500ms"
+	return func(n ast.Node) {
+		text, ok := r.text(n, key, want)
+		if !ok {
+			return
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			r.add(n, key, fmt.Sprintf("must be %s, not %q", want, text))
+			return
+		}
+		if d < least || d > most {
+			r.add(n, key, fmt.Sprintf("must be from %s to %s, not %s", least, most, d))
+			return
+		}
+		*place = d
 	}
-	r.settings.Drain = d
 }
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -122,7 +122,7 @@
 		drain = "0s"
 	}
 	text := fmt.Sprintf("instance: %s\ncentre: %s\nservice: %s\ncallers: %v\nnodes: %v\ncontrol: %v\n"+
-		"operators: %v\nserver: %v\nplatform: %v\ndrain: %s\n",
+		"operators: %v\nserver: %v\nplatform: %v\ndrain: %s\nlag: 4s\n",
 		n.name, place[i].centre, n.service, n.callers, n.nodes, n.control, n.operators, n.server, s.address, drain)
 	if o.peers {
 		text += "peers:\n"
