--- a/io/client/do.go
+++ b/io/client/do.go
@@ -78,6 +78,7 @@
 	}
 	q := r.Clone(ctx)
 	q.RequestURI = r.URL.RequestURI()
+	q.Proto, q.ProtoMajor, q.ProtoMinor = "HTTP/1.1", 1, 1
 	if q.Host == "" {
 		q.Host = defaultHost
 	}
