--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -212,6 +212,7 @@
 	d.add(l.callers, f)
 	d.add(l.nodes, g)
 	d.add(l.operators, oper.New(d.loop, metrics))
+	go d.measure(newGauges(scope))
 	go d.end()
 }
 
--- /dev/null
+++ b/io/daemon/gauge_test.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/report"
+	"bulrushlock/core/view"
+)
+
+func TestGaugesShowTheState(t *testing.T) {
+	c := qt.New(t)
+	scope := tally.NewTestScope("", nil)
+	newGauges(scope).update(node.Status{
+		Versions: event.Versions{Rules: view.Version{Revision: 3}, Age: 1500 * time.Millisecond},
+		Load:     report.Load{InFlight: 4, Queued: 1, Limit: 10, Cold: true},
+		Closed:   effect.ReasonOut,
+		Requests: 5,
+	})
+	got := make(map[string]float64)
+	for _, g := range scope.Snapshot().Gauges() {
+		got[g.Name()] = g.Value()
+	}
+	c.Check(got, qt.DeepEquals, map[string]float64{
+		"rules_revision": 3,
+		"rules_age":      1.5,
+		"server_busy":    4,
+		"server_queued":  1,
+		"server_limit":   10,
+		"server_cold":    1,
+		"closed":         1,
+		"requests_open":  5,
+	})
+}
