feat(cmd): plot the wait above the service time

Cause: at the 99th percentile of the latency the policies lie close together, and on a logarithmic axis without a decade there are no marks.

--- a/cmd/plot.go
+++ b/cmd/plot.go
@@ -32,12 +32,13 @@
 	{R: 140, B: 170, A: 255},
 }
 
-// plotResults writes a plot to a file: the 99th percentile of each scene, or the
-// course of the success if the results hold a single scene.
+// plotResults writes a plot to a file: the 99th percentile of the wait in each
+// scene, or the course of the success if the results hold a single scene.
 func plotResults(file string, results []scene.Result) error {
 	p := plot.New()
 	p.Legend.Top = true
-	err := addLatency(p, results)
+	p.Legend.Left = true
+	err := addWait(p, results)
 	if single(results) {
 		p = plot.New()
 		p.Legend.Top = false
@@ -72,13 +73,12 @@
 	return true
 }
 
-// addLatency draws a mark for the 99th percentile of each scene and policy of
-// the first size.
-func addLatency(p *plot.Plot, results []scene.Result) error {
-	p.Title.Text = "99th percentile of latency by scene, " + results[0].Size
+// addWait draws a mark for the 99th percentile of the wait in each scene and with
+// each policy, at the first size.
+func addWait(p *plot.Plot, results []scene.Result) error {
+	p.Title.Text = "99th percentile of the wait above the service time, " + results[0].Size
 	p.Y.Label.Text = "ms"
-	p.Y.Scale = plot.LogScale{}
-	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Y.Min = 0
 	var names []string
 	points := make(map[string]plotter.XYs)
 	for _, r := range results {
@@ -89,7 +89,7 @@
 			names = append(names, r.Scene)
 		}
 		x := float64(len(names)-1) + offset(r.Policy)
-		points[r.Policy] = append(points[r.Policy], plotter.XY{X: x, Y: milliseconds(r.P99)})
+		points[r.Policy] = append(points[r.Policy], plotter.XY{X: x, Y: milliseconds(r.Wait)})
 	}
 	p.NominalX(names...)
 	for i, name := range scene.Policies() {
