fix(core): hold the limit where lowering it does not help

Change: after a lowering the requests that began before it are left out; if the next window is not at least a fifth better, the limit is held and the baseline learns over 200 requests; it falls again at 1.5 times that latency.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -35,6 +35,14 @@
 	learning = 1000
 	// relearning is that number while the latency is far above the baseline.
 	relearning = 10_000
+	// unhelped is that number while the latency is far above the baseline and a
+	// lower limit has not helped.
+	unhelped = 200
+	// helped is the factor on the latency from which a lower limit has helped.
+	helped = 0.8
+	// worse is the factor on the latency from which a limit that is held, since
+	// lowering it has not helped, falls again.
+	worse = 1.5
 	// early is that number while the latency is far below the baseline.
 	early = 50
 	// improved is the mean latency, in baselines, from which a baseline falls early.
@@ -54,6 +62,9 @@
 	usual   float64 // The usual share of failures.
 	latest  float64 // The moving mean of latency over baseline.
 	jumped  bool
+	lowered float64 // The mean of the window that last lowered the limit, or 0.
+	futile  bool    // The last lowering has not helped.
+	settle  int     // Requests to leave out, since they began at a higher limit.
 
 	since    time.Time
 	count    int
@@ -86,12 +97,20 @@
 	if l.count == 0 || now.Sub(l.since) > stale {
 		l.reset(now)
 	}
-	l.count++
 	l.most = max(l.most, inFlight)
+	ratio := 1.0
+	if !failed {
+		ratio = l.learn(class, latency)
+	}
+	if l.settle > 0 {
+		l.settle--
+		return
+	}
+	l.count++
 	if failed {
 		l.failures++
 	} else {
-		l.learn(class, latency)
+		l.sum += ratio
 	}
 	if l.count >= window {
 		l.judge()
@@ -129,15 +148,14 @@
 }
 
 // learn moves the baseline of class towards latency and takes the latency into
-// the window and into the judgement of a jump.
-func (l *Limit) learn(class int, latency time.Duration) {
+// the judgement of a jump. It returns the latency over the baseline.
+func (l *Limit) learn(class int, latency time.Duration) float64 {
 	b := l.classes[class]
 	if b == nil {
 		b = &baseline{mean: latency.Seconds()}
 		l.classes[class] = b
 	}
 	ratio := b.ratio(latency)
-	l.sum += ratio
 	l.latest += (ratio - l.latest) / recent
 	switch {
 	case l.latest > jump:
@@ -145,24 +163,39 @@
 	case l.latest < calm:
 		l.jumped = false
 	}
-	b.move(latency, l.latest)
+	b.move(latency, l.speed())
+	return ratio
+}
+
+// speed returns the number of requests over which a baseline moves now.
+func (l *Limit) speed() int {
+	switch {
+	case l.latest > tolerance && l.futile:
+		return unhelped
+	case l.latest > tolerance:
+		return relearning
+	case l.latest < improved:
+		return early
+	}
+	return learning
 }
 
 // judge lowers or raises the limit by what the window held.
 func (l *Limit) judge() {
 	failed := float64(l.failures) / float64(l.count)
-	factor := 1.0
-	if n := l.count - l.failures; n > 0 && l.sum/float64(n) > tolerance {
-		factor = tolerance * float64(n) / l.sum
-	}
+	factor := l.slowdown()
 	if failed > l.usual+failing {
 		factor = min(factor, 1-failed)
 	}
 	l.usual += (failed - l.usual) * window / learning
 	if factor < 1 {
+		l.settle = l.most
 		l.current = max(l.current*max(factor, shrink), 1)
 		return
 	}
+	if l.futile {
+		return
+	}
 	step := 1.0
 	if 2*l.most >= l.Limit() {
 		step = max(step, l.current/4)
@@ -170,6 +203,28 @@
 	l.current = min(l.current+step, float64(l.ceiling))
 }
 
+// slowdown returns the factor by which the latency of the window lowers the
+// limit. It is 1 if the latency is near its baseline, or if the last lowering has
+// not helped: then the latency does not come from the concurrency.
+func (l *Limit) slowdown() float64 {
+	n := float64(l.count - l.failures)
+	if n == 0 || l.sum/n <= tolerance {
+		l.lowered = 0
+		l.futile = false
+		return 1
+	}
+	mean := l.sum / n
+	if l.futile && mean < worse*l.lowered {
+		return 1
+	}
+	l.futile = !l.futile && l.lowered > 0 && mean > helped*l.lowered
+	if l.futile {
+		return 1
+	}
+	l.lowered = mean
+	return tolerance / mean
+}
+
 // ratio returns latency over the baseline, or 1 while the baseline is young.
 func (b *baseline) ratio(latency time.Duration) float64 {
 	if b.count < window || b.mean <= 0 {
@@ -178,17 +233,12 @@
 	return latency.Seconds() / b.mean
 }
 
-// move moves the baseline towards latency. The latest latency over the baseline
-// sets the speed.
-func (b *baseline) move(latency time.Duration, latest float64) {
+// move moves the baseline towards latency by one part in over. A young baseline
+// learns faster.
+func (b *baseline) move(latency time.Duration, over int) {
 	b.count++
-	over := learning
-	switch {
-	case latest > tolerance:
-		over = relearning
-	case latest < improved:
-		over = early
+	if over == learning {
+		over = min(over, b.count)
 	}
-	over = min(over, b.count)
 	b.mean += (latency.Seconds() - b.mean) / float64(over)
 }
--- a/core/scene/fault.go
+++ b/core/scene/fault.go
@@ -16,6 +16,9 @@
 			func() { first[slowServer].server.slowdown = slowFactor },
 			func() { first[slowServer].server.slowdown = 1 })
 	}
+	if w.scene.Shared {
+		w.between(from, to, func() { w.slowAll(sharedFactor) }, func() { w.slowAll(1) })
+	}
 	if w.scene.Fail {
 		w.between(from, to,
 			func() { first[failServer].server.failing = true },
@@ -34,6 +37,15 @@
 	}
 }
 
+// slowAll sets the factor on the service time of all servers.
+func (w *world) slowAll(factor float64) {
+	for _, guards := range w.guards {
+		for _, g := range guards {
+			g.server.slowdown = factor
+		}
+	}
+}
+
 // between runs begin at from and end at to.
 func (w *world) between(from, to time.Duration, begin, end func()) {
 	w.clock.after(from, begin)
--- a/core/scene/run.go
+++ b/core/scene/run.go
@@ -29,6 +29,9 @@
 	jumpFactor = 3
 	// slowFactor is the factor on the service time of a slow server.
 	slowFactor = 10
+	// sharedFactor is the factor on the service time of all servers while a
+	// dependency is slow.
+	sharedFactor = 2.5
 	// noiseEvery, noiseHold and noiseFactor shape the noise of neighbours.
 	noiseEvery  = 50 * time.Millisecond
 	noiseHold   = 20 * time.Millisecond
@@ -137,7 +140,7 @@
 		faults:   rand.New(rand.NewPCG(o.Seed, 2)),
 	}
 	from, to := o.Length/warmUp, o.Length
-	if s.Slow || s.Cold || s.Fail || s.Centre {
+	if s.Slow || s.Shared || s.Cold || s.Fail || s.Centre {
 		from, to = w.window()
 	}
 	if s.Cold || s.Centre {
--- a/core/scene/scene.go
+++ b/core/scene/scene.go
@@ -26,6 +26,9 @@
 	Jump bool
 	// Slow slows one backend server down ten times for a while.
 	Slow bool
+	// Shared slows all backend servers down for a while, as a dependency that they
+	// share does.
+	Shared bool
 	// Cold turns one backend server cold without warning, again and again.
 	Cold bool
 	// Fail makes one backend server fail each request at once for a while.
@@ -59,6 +62,7 @@
 		{Name: "steady-110", Load: 1.1},
 		{Name: "jump", Load: 0.4, Jump: true},
 		{Name: "slow", Load: 0.6, Slow: true},
+		{Name: "shared", Load: 0.3, Shared: true},
 		{Name: "cold", Load: 0.6, Cold: true},
 		{Name: "fail", Load: 0.6, Fail: true},
 		{Name: "noise", Load: 0.6, Noise: true},
