fix(core): take a lowering of the limit back that has not helped

Cause: in scene shared some guards stayed at half of their slots until the baseline had learned the new latency. Change: the limit returns to where it stood before the lowering.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -4,8 +4,8 @@
 // A Limit compares the latency of each request with a slow-moving baseline of
 // its class, so that routes of different cost do not disturb each other. It
 // judges windows of several requests: when the mean of a window lies well above
-// the baseline, or more requests fail than usual, the limit falls; otherwise it
-// returns to its ceiling.
+// the baseline, or more requests fail than usual, the limit falls, as long as that
+// makes the latency lower; otherwise it returns to its ceiling.
 //
 // # Usage
 //
@@ -40,8 +40,8 @@
 	unhelped = 200
 	// helped is the factor on the latency from which a lower limit has helped.
 	helped = 0.8
-	// worse is the factor on the latency from which a limit that is held, since
-	// lowering it has not helped, falls again.
+	// worse is the factor on the latency from which a limit falls again after
+	// lowering it has not helped.
 	worse = 1.5
 	// early is that number while the latency is far below the baseline.
 	early = 50
@@ -63,7 +63,8 @@
 	latest  float64 // The moving mean of latency over baseline.
 	jumped  bool
 	lowered float64 // The mean of the window that last lowered the limit, or 0.
-	futile  bool    // The last lowering has not helped.
+	before  float64 // The limit before that.
+	futile  bool    // The last lowering has not helped and was taken back.
 	settle  int     // Requests to leave out, since they began at a higher limit.
 
 	since    time.Time
@@ -205,7 +206,8 @@
 
 // slowdown returns the factor by which the latency of the window lowers the
 // limit. It is 1 if the latency is near its baseline, or if the last lowering has
-// not helped: then the latency does not come from the concurrency.
+// not helped: then the latency does not come from the concurrency, and the
+// lowering is taken back.
 func (l *Limit) slowdown() float64 {
 	n := float64(l.count - l.failures)
 	if n == 0 || l.sum/n <= tolerance {
@@ -219,9 +221,11 @@
 	}
 	l.futile = !l.futile && l.lowered > 0 && mean > helped*l.lowered
 	if l.futile {
+		l.current = min(l.before, float64(l.ceiling))
 		return 1
 	}
 	l.lowered = mean
+	l.before = l.current
 	return tolerance / mean
 }
 
