chore(io): name the parts of the demo and the client plainly, bound the demo

Names such as crowd, place and bridge needed explaining. The demo could take longer than it says where nodes end late: callers now give up after 14 s and nodes have 5 s to end.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -10,7 +10,7 @@
 )
 
 // demoTime is the time after which the callers of the demo give up.
-const demoTime = 18 * time.Second
+const demoTime = 14 * time.Second
 
 // brokenPromiseError tells that the demo has shown a promise that was not kept.
 type brokenPromiseError struct{}
--- a/io/client/do.go
+++ b/io/client/do.go
@@ -36,13 +36,13 @@
 		c.working.Done()
 		return nil, err
 	}
-	b := newBridge()
+	w := newWriter()
 	go func() {
 		defer c.working.Done()
-		b.serve(c.front, q)
+		w.serve(c.front, q)
 	}()
-	<-b.ready
-	return b.outcome(ctx)
+	<-w.ready
+	return w.outcome(ctx)
 }
 
 // Recover asks what became of the attempt of r that the ticket names. It sends
@@ -111,15 +111,15 @@
 }
 
 // outcome returns the answer of a backend server, or the error that stands for another outcome.
-func (b *bridge) outcome(ctx context.Context) (*http.Response, error) {
-	if b.answer == nil {
-		return nil, &UnknownError{Reason: effect.ReasonGone, Ticket: ticketOf(b.ticket), Cause: ctx.Err()}
+func (w *writer) outcome(ctx context.Context) (*http.Response, error) {
+	if w.answer == nil {
+		return nil, &UnknownError{Reason: effect.ReasonGone, Ticket: ticketOf(w.ticket), Cause: ctx.Err()}
 	}
-	outcome := b.answer.Header.Get(xchg.HeaderOutcome)
+	outcome := w.answer.Header.Get(xchg.HeaderOutcome)
 	if outcome == effect.Run.String() {
-		return b.answer, nil
+		return w.answer, nil
 	}
-	text, err := io.ReadAll(b.reader)
+	text, err := io.ReadAll(w.body)
 	var p problem
 	if err == nil {
 		err = json.Unmarshal(text, &p)
--- a/io/client/bridge.go
+++ b/io/client/writer.go
@@ -12,11 +12,11 @@
 	"bulrushlock/io/xchg"
 )
 
-// bridge takes what a handler writes and gives it to the caller as an answer.
-type bridge struct {
+// writer takes what a handler writes and gives it to the caller as an answer.
+type writer struct {
 	header http.Header
-	reader *io.PipeReader
-	writer *io.PipeWriter
+	body   *io.PipeReader
+	pipe   *io.PipeWriter
 	// answer is set before ready is closed; it is nil where the handler ended without one.
 	answer *http.Response
 	// ticket is the ticket that was announced before the answer, or empty.
@@ -25,20 +25,20 @@
 	once   sync.Once
 }
 
-var _ http.ResponseWriter = (*bridge)(nil)
+var _ http.ResponseWriter = (*writer)(nil)
 
-// newBridge returns a bridge for one request.
-func newBridge() *bridge {
-	b := &bridge{header: make(http.Header), ready: make(chan struct{})}
-	b.reader, b.writer = io.Pipe()
-	return b
+// newWriter returns the writer for one request.
+func newWriter() *writer {
+	w := &writer{header: make(http.Header), ready: make(chan struct{})}
+	w.body, w.pipe = io.Pipe()
+	return w
 }
 
 // serve lets h handle r and returns when all is written or given up.
-func (b *bridge) serve(h http.Handler, r *http.Request) {
+func (w *writer) serve(h http.Handler, r *http.Request) {
 	cause := io.EOF
-	defer b.once.Do(func() { close(b.ready) })
-	defer func() { _ = b.writer.CloseWithError(cause) }()
+	defer w.once.Do(func() { close(w.ready) })
+	defer func() { _ = w.pipe.CloseWithError(cause) }()
 	defer func() {
 		e := recover()
 		if e == nil {
@@ -50,33 +50,33 @@
 		cause = &CutError{Cause: r.Context().Err()}
 	}()
 	stop := context.AfterFunc(r.Context(), func() {
-		_ = b.writer.CloseWithError(&CutError{Cause: r.Context().Err()})
+		_ = w.pipe.CloseWithError(&CutError{Cause: r.Context().Err()})
 	})
 	defer stop()
-	h.ServeHTTP(b, r)
+	h.ServeHTTP(w, r)
 }
 
 // Header returns the header that WriteHeader sends.
-func (b *bridge) Header() http.Header { return b.header }
+func (w *writer) Header() http.Header { return w.header }
 
 // WriteHeader gives the head of the answer to the caller.
-func (b *bridge) WriteHeader(status int) {
+func (w *writer) WriteHeader(status int) {
 	if status < http.StatusOK {
-		b.ticket = b.header.Get(xchg.HeaderTicket)
+		w.ticket = w.header.Get(xchg.HeaderTicket)
 		return
 	}
-	b.once.Do(func() {
-		b.answer = &http.Response{
+	w.once.Do(func() {
+		w.answer = &http.Response{
 			Status:        strconv.Itoa(status) + " " + http.StatusText(status),
 			StatusCode:    status,
 			Proto:         "HTTP/1.1",
 			ProtoMajor:    1,
 			ProtoMinor:    1,
-			Header:        b.header.Clone(),
-			Body:          b.reader,
-			ContentLength: lengthOf(b.header),
+			Header:        w.header.Clone(),
+			Body:          w.body,
+			ContentLength: lengthOf(w.header),
 		}
-		close(b.ready)
+		close(w.ready)
 	})
 }
 
@@ -90,13 +90,13 @@
 }
 
 // Write gives a part of the body to the caller.
-func (b *bridge) Write(p []byte) (int, error) {
-	b.WriteHeader(http.StatusOK)
-	return b.writer.Write(p)
+func (w *writer) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.pipe.Write(p)
 }
 
 // Flush does nothing: a part is given to the caller as soon as it is written.
-func (b *bridge) Flush() {}
+func (w *writer) Flush() {}
 
 // SetReadDeadline does nothing: the body of the request is read as fast as the caller gives it.
-func (b *bridge) SetReadDeadline(time.Time) error { return nil }
+func (w *writer) SetReadDeadline(time.Time) error { return nil }
--- a/io/demo/caller.go
+++ b/io/demo/callers.go
@@ -59,23 +59,23 @@
 	return fmt.Sprintf("request %s got the answer of %q", e.Request, e.Answer)
 }
 
-// crowd is all callers, with the requests that they have sent.
-type crowd struct {
-	site *site
+// callers send requests and keep what became of them.
+type callers struct {
+	deployment *deployment
 
 	mutex sync.Mutex
 	next  int
 	sent  []*request
 }
 
-// send sends a number of requests of a kind from callers that work at once, and
+// send sends a number of requests of a kind, atOnce of them at a time, and
 // waits for their answers.
-func (c *crowd) send(ctx context.Context, kind string, count, callers int) {
+func (c *callers) send(ctx context.Context, kind string, count, atOnce int) {
 	var working sync.WaitGroup
-	for i := range callers {
+	for i := range atOnce {
 		working.Go(func() {
-			for n := i; n < count; n += callers {
-				c.one(ctx, kind, c.site.places[n%len(c.site.places)])
+			for n := i; n < count; n += atOnce {
+				c.one(ctx, kind, c.deployment.instances[n%len(c.deployment.instances)])
 			}
 		})
 	}
@@ -83,7 +83,7 @@
 }
 
 // mix sends the lookups and claims of one step at once and waits for their answers.
-func (c *crowd) mix(ctx context.Context) {
+func (c *callers) mix(ctx context.Context) {
 	var working sync.WaitGroup
 	working.Go(func() { c.send(ctx, kindLookup, lookups, lookupCallers) })
 	working.Go(func() { c.send(ctx, kindClaim, claims, claimCallers) })
@@ -91,14 +91,14 @@
 }
 
 // export starts an export at the node of an instance. The returned function waits for its end.
-func (c *crowd) export(ctx context.Context, p *place) (wait func()) {
+func (c *callers) export(ctx context.Context, p *instance) (wait func()) {
 	var working sync.WaitGroup
 	working.Go(func() { c.one(ctx, kindExport, p) })
 	return working.Wait
 }
 
 // one sends one request to the node of an instance.
-func (c *crowd) one(ctx context.Context, kind string, p *place) {
+func (c *callers) one(ctx context.Context, kind string, p *instance) {
 	c.mutex.Lock()
 	c.next++
 	q := &request{kind: kind, id: fmt.Sprintf("%s-%d", kind, c.next), outcome: effect.Unknown}
@@ -113,12 +113,12 @@
 }
 
 // exchange sends q and reads its answer.
-func (c *crowd) exchange(ctx context.Context, q *request, p *place) (o effect.Outcome, whole bool, fault error) {
+func (c *callers) exchange(ctx context.Context, q *request, p *instance) (o effect.Outcome, whole bool, fault error) {
 	r, err := httpRequest(ctx, q, "http://"+p.settings.Callers.String())
 	if err != nil {
 		return effect.NotRun, false, err
 	}
-	a, err := c.site.client.Do(r)
+	a, err := c.deployment.client.Do(r)
 	if err != nil {
 		return effect.Unknown, false, nil
 	}
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -35,11 +35,11 @@
 
 // Demo is one run of the demo.
 type Demo struct {
-	out      io.Writer
-	began    time.Time
-	site     *site
-	crowd    *crowd
-	promises []Promise
+	out        io.Writer
+	began      time.Time
+	deployment *deployment
+	callers    *callers
+	promises   []Promise
 	// late tells which rules were not in force in time; it is empty where all were.
 	late string
 }
@@ -51,19 +51,19 @@
 // does not start or does not end in time, with a *LateError or the cause.
 func (d *Demo) Run(ctx context.Context) (Report, error) {
 	var err error
-	d.site, err = newSite()
-	defer d.site.close()
+	d.deployment, err = newDeployment()
+	defer d.deployment.close()
 	if err == nil {
 		err = d.steps(ctx)
 	}
-	if left := d.site.leave(); err == nil {
+	if left := d.deployment.leave(); err == nil {
 		err = left
 	}
 	if err != nil {
 		return Report{}, fmt.Errorf("demo: %w", err)
 	}
 	d.say("every node has finished its work and left")
-	return Report{Rows: d.crowd.rows(), Promises: append(d.crowd.promises(), d.promises...)}, nil
+	return Report{Rows: d.callers.rows(), Promises: append(d.callers.promises(), d.promises...)}, nil
 }
 
 // say writes a line about a step.
@@ -76,12 +76,12 @@
 
 // steps runs the steps of the demo.
 func (d *Demo) steps(ctx context.Context) error {
-	d.crowd = &crowd{site: d.site}
-	if _, err := d.site.settle(ctx, 1, startTime); err != nil {
+	d.callers = &callers{deployment: d.deployment}
+	if _, err := d.deployment.settle(ctx, 1, startTime); err != nil {
 		return err
 	}
-	d.say("%d nodes beside %d backend servers are up in 3 data centres", len(d.site.places), len(d.site.places))
-	d.crowd.mix(ctx)
+	d.say("%d nodes beside %d backend servers are up in 3 data centres", len(d.deployment.instances), len(d.deployment.instances))
+	d.callers.mix(ctx)
 	d.say("sent %d lookups and %d claims", lookups, claims)
 	d.takeOut(ctx)
 	d.bringBack(ctx)
@@ -91,14 +91,14 @@
 
 // takeOut takes a data centre out while callers send, and checks that it gets no new work.
 func (d *Demo) takeOut(ctx context.Context) {
-	wait := d.crowd.export(ctx, d.site.find("audit-patan-1"))
+	wait := d.callers.export(ctx, d.deployment.find("audit-patan-1"))
 	time.Sleep(exportStart)
 	d.say("started an export of %d MiB in %s", exportSize>>20, outCentre)
 	spent := d.publish(ctx, rulesText+outText)
 	d.say("took %s out: the rules were in force on every node after %v", outCentre, spent.Round(time.Millisecond))
-	before := d.site.ran()
-	d.crowd.mix(ctx)
-	after := d.site.ran()
+	before := d.deployment.ran()
+	d.callers.mix(ctx)
+	after := d.deployment.ran()
 	d.say("sent %d lookups and %d claims: %s ran %d of them", lookups, claims, outCentre, after-before)
 	fault := ""
 	if after > before {
@@ -115,9 +115,9 @@
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		d.crowd.mix(ctx)
+		d.callers.mix(ctx)
 	}()
-	spent, err := d.site.settle(ctx, d.site.platform.Publish(text), changeTime)
+	spent, err := d.deployment.settle(ctx, d.deployment.platform.Publish(text), changeTime)
 	if err != nil {
 		d.late = err.Error()
 	}
@@ -130,9 +130,9 @@
 	spent := d.publish(ctx, rulesText)
 	d.say("brought %s back: the rules were in force on every node after %v", outCentre, spent.Round(time.Millisecond))
 	d.promise(fmt.Sprintf("accepted rules were in force everywhere within %v", changeTime), d.late)
-	before := d.site.ran()
-	d.crowd.mix(ctx)
-	ran := d.site.ran() - before
+	before := d.deployment.ran()
+	d.callers.mix(ctx)
+	ran := d.deployment.ran() - before
 	d.say("sent %d lookups and %d claims: %s ran %d of them", lookups, claims, outCentre, ran)
 	fault := ""
 	if ran == 0 {
@@ -143,8 +143,8 @@
 
 // stop makes a node leave while it runs an export.
 func (d *Demo) stop(ctx context.Context) {
-	p := d.site.find("audit-kirtipur-1")
-	wait := d.crowd.export(ctx, p)
+	p := d.deployment.find("audit-kirtipur-1")
+	wait := d.callers.export(ctx, p)
 	time.Sleep(exportStart)
 	d.say("stopping %s while it runs an export", p.name)
 	p.node.Leave()
--- a/io/demo/site.go
+++ b/io/demo/deployment.go
@@ -22,7 +22,7 @@
 	// drainTime is the time for which a leaving node refuses late senders.
 	drainTime = 500 * time.Millisecond
 	// leaveTime is the longest time in which a node has to end.
-	leaveTime = 8 * time.Second
+	leaveTime = 5 * time.Second
 	// pollTime is the time between two looks at the nodes.
 	pollTime = 50 * time.Millisecond
 	// workTime is the time that a backend server takes for a request.
@@ -43,25 +43,25 @@
 // Error names what did not come about.
 func (e *LateError) Error() string { return fmt.Sprintf("%s not within %v", e.What, e.Time) }
 
-// site is a running deployment: the platform, the backend servers and the nodes.
-type site struct {
-	platform *stand.Platform
-	places   []*place
-	hosts    []*http.Server
-	client   *http.Client
+// deployment is a running deployment: the platform, the backend servers and the nodes.
+type deployment struct {
+	platform  *stand.Platform
+	instances []*instance
+	hosts     []*http.Server
+	client    *http.Client
 }
 
-// place is a running instance: a backend server and the node beside it.
-type place struct {
-	post
+// instance is a running instance: a backend server and the node beside it.
+type instance struct {
+	identity
 	server   *stand.Server
 	node     *daemon.Daemon
 	settings conf.Settings
 }
 
-// newSite starts a deployment.
-func newSite() (*site, error) {
-	s := &site{
+// newDeployment starts all parts of a deployment. Those that were started are returned also with an error.
+func newDeployment() (*deployment, error) {
+	s := &deployment{
 		platform: stand.NewPlatform(),
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}},
 	}
@@ -70,17 +70,17 @@
 	if err != nil {
 		return s, err
 	}
-	for _, p := range posts {
+	for _, p := range identities {
 		if err := s.open(p, platform); err != nil {
 			return s, err
 		}
 	}
-	s.platform.List(s.instances())
+	s.platform.List(s.list())
 	return s, nil
 }
 
 // host serves h on a port that the system chooses.
-func (s *site) host(h http.Handler) (netip.AddrPort, error) {
+func (s *deployment) host(h http.Handler) (netip.AddrPort, error) {
 	l, err := net.Listen("tcp", loopback.String())
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
@@ -92,7 +92,7 @@
 }
 
 // open starts an instance.
-func (s *site) open(p post, platform netip.AddrPort) error {
+func (s *deployment) open(p identity, platform netip.AddrPort) error {
 	cold := coldStarts[p.service]
 	server := stand.NewServer(stand.ServerOptions{
 		Name:  p.name,
@@ -121,15 +121,15 @@
 	if err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
-	s.places = append(s.places, &place{post: p, server: server, node: node, settings: node.Settings()})
+	s.instances = append(s.instances, &instance{identity: p, server: server, node: node, settings: node.Settings()})
 	return nil
 }
 
-// instances returns the list of instances that the platform publishes.
-func (s *site) instances() []fleet.Instance {
-	list := make([]fleet.Instance, len(s.places))
-	for i, p := range s.places {
-		list[i] = fleet.Instance{
+// list returns the list of instances that the platform publishes.
+func (s *deployment) list() []fleet.Instance {
+	entries := make([]fleet.Instance, len(s.instances))
+	for i, p := range s.instances {
+		entries[i] = fleet.Instance{
 			Name:    p.name,
 			Centre:  p.centre,
 			Service: p.service,
@@ -137,12 +137,12 @@
 			Control: p.settings.Control,
 		}
 	}
-	return list
+	return entries
 }
 
 // settle waits until every node holds the given revision of the rules and the
 // list of instances, and returns how long that took. It fails with a *LateError.
-func (s *site) settle(ctx context.Context, revision uint64, longest time.Duration) (time.Duration, error) {
+func (s *deployment) settle(ctx context.Context, revision uint64, longest time.Duration) (time.Duration, error) {
 	began := time.Now()
 	for time.Since(began) < longest {
 		if s.holds(ctx, revision) {
@@ -154,8 +154,8 @@
 }
 
 // holds reports whether every node holds the given revision of the rules.
-func (s *site) holds(ctx context.Context, revision uint64) bool {
-	for _, p := range s.places {
+func (s *deployment) holds(ctx context.Context, revision uint64) bool {
+	for _, p := range s.instances {
 		status, err := s.status(ctx, p)
 		if err != nil || status.Rules < revision || status.Fleet == 0 {
 			return false
@@ -165,7 +165,7 @@
 }
 
 // status reads the status of a node.
-func (s *site) status(ctx context.Context, p *place) (oper.Status, error) {
+func (s *deployment) status(ctx context.Context, p *instance) (oper.Status, error) {
 	var status oper.Status
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.Operators.String()+"/status", http.NoBody)
 	if err != nil {
@@ -180,9 +180,9 @@
 }
 
 // ran returns the number of requests that the backend servers of outCentre ran.
-func (s *site) ran() int {
+func (s *deployment) ran() int {
 	total := 0
-	for _, p := range s.places {
+	for _, p := range s.instances {
 		if p.centre == outCentre {
 			total += p.server.Total()
 		}
@@ -191,17 +191,17 @@
 }
 
 // runs returns how often the request with this identity ran.
-func (s *site) runs(id string) int {
+func (s *deployment) runs(id string) int {
 	total := 0
-	for _, p := range s.places {
+	for _, p := range s.instances {
 		total += p.server.Runs(id)
 	}
 	return total
 }
 
 // find returns the instance of the given name.
-func (s *site) find(name string) *place {
-	for _, p := range s.places {
+func (s *deployment) find(name string) *instance {
+	for _, p := range s.instances {
 		if p.name == name {
 			return p
 		}
@@ -210,9 +210,9 @@
 }
 
 // leave makes every node end and waits for it. It fails with a *LateError.
-func (s *site) leave() error {
-	ended := make(chan struct{}, len(s.places))
-	for _, p := range s.places {
+func (s *deployment) leave() error {
+	ended := make(chan struct{}, len(s.instances))
+	for _, p := range s.instances {
 		p.node.Leave()
 		go func() {
 			p.node.Wait()
@@ -220,7 +220,7 @@
 		}()
 	}
 	overdue := time.After(leaveTime)
-	for range s.places {
+	for range s.instances {
 		select {
 		case <-ended:
 		case <-overdue:
@@ -231,7 +231,7 @@
 }
 
 // close ends the stand-ins.
-func (s *site) close() {
+func (s *deployment) close() {
 	s.client.CloseIdleConnections()
 	for _, h := range s.hosts {
 		_ = h.Close()
--- a/io/demo/report.go
+++ b/io/demo/report.go
@@ -65,12 +65,12 @@
 }
 
 // rows counts what became of the requests of each kind.
-func (c *crowd) rows() []Row {
+func (c *callers) rows() []Row {
 	rows := []Row{{Kind: kindLookup}, {Kind: kindClaim}, {Kind: kindExport}}
 	for i := range rows {
 		for _, q := range c.sent {
 			if q.kind == rows[i].Kind {
-				rows[i].add(q, c.site.runs(q.id))
+				rows[i].add(q, c.deployment.runs(q.id))
 			}
 		}
 	}
@@ -102,10 +102,10 @@
 }
 
 // promises checks what must hold of every request.
-func (c *crowd) promises() []Promise {
+func (c *callers) promises() []Promise {
 	var ran, repeated, cut, lost string
 	for _, q := range c.sent {
-		runs := c.site.runs(q.id)
+		runs := c.deployment.runs(q.id)
 		if q.outcome == effect.NotRun && runs > 0 {
 			ran = q.id + " ran"
 		}
@@ -124,13 +124,13 @@
 		promise("a claim ran at most once", repeated),
 		promise("every answer was whole and belonged to its request", cut),
 		promise("no export was lost", lost),
-		promise("a backend server in cold start got no more than it bears", c.site.overloaded()),
+		promise("a backend server in cold start got no more than it bears", c.deployment.overloaded()),
 	}
 }
 
 // overloaded names a backend server that ran too much in its cold start, or returns "".
-func (s *site) overloaded() string {
-	for _, p := range s.places {
+func (s *deployment) overloaded() string {
+	for _, p := range s.instances {
 		if peak := p.server.PeakCold(); peak > coldStarts[p.service].slots {
 			return fmt.Sprintf("%s ran %d at once", p.name, peak)
 		}
--- a/io/demo/rules.go
+++ b/io/demo/rules.go
@@ -19,16 +19,16 @@
 // outCentre is the data centre that the demo takes out and brings back.
 const outCentre = "patan"
 
-// post is an instance of the deployment.
-type post struct {
+// identity is an instance of the deployment.
+type identity struct {
 	name    string
 	centre  string
 	service string
 }
 
-// posts are the instances of the deployment: services of 6, 4 and 3 backend
+// identities are the instances of the deployment: services of 6, 4 and 3 backend
 // servers in three data centres.
-var posts = []post{
+var identities = []identity{
 	{"ledger-patan-1", outCentre, "ledger"},
 	{"ledger-patan-2", outCentre, "ledger"},
 	{"ledger-kirtipur-1", "kirtipur", "ledger"},
