--- a/cmd/nodes_test.go
+++ b/cmd/nodes_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -145,3 +148,19 @@
 		c.Check(errOut.String(), qt.Equals, "")
 	}
 }
+
+func TestTimelineFollowsUntilItIsEnded(t *testing.T) {
+	c := qt.New(t)
+	node := newNode(t, map[string]string{
+		"/timeline?since=0": `{"life":"1","next":1,"records":[{"stamp":"1.0","at":"2026-01-02T03:04:01Z","instance":"ledger-1","kind":"out"}]}`,
+		"/timeline?since=1": `{"life":"1","next":2,"records":[{"stamp":"2.0","at":"2026-01-02T03:04:02Z","instance":"ledger-1","kind":"back"}]}`,
+		"/timeline?since=2": `{"life":"1","next":2}`,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(3*followTime, cancel)
+	var out, errOut bytes.Buffer
+	f := timelineFlags{nodes: []netip.AddrPort{netip.MustParseAddrPort(node)}, follow: true, format: formatText}
+	c.Assert(runTimeline(ctx, f, streams{out: &out, err: &errOut}), qt.IsNil)
+	c.Check(out.String(), qt.Matches, "(?s).*ledger-1 .*out\n.*ledger-1 .*back\n")
+	c.Check(errOut.String(), qt.Equals, "")
+}
