fix(core/owner): keep the history when events come out of order by a little

Keys were refused (not-run, key) on a quiet fleet long after the owner had been settled: with lag 3s, a run of 40 requests lost the owner once more in between, and with the default of 2m no key was taken after 4m20s. Events carry the time at which they were made, and two that were made at once may be taken in the other order; the history took that for a clock that went back and began anew. A tolerance was ruled out, as the right time is known: it is the latest one seen.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -70,8 +70,11 @@
 }
 
 // Observe adds the membership seen at a time. The history starts anew if the
-// membership before is older than the window, or if time went back.
+// membership before is older than the window. A time before the last one counts
+// as the last one: the events of a process are not always taken in the order of
+// the times that they were given.
 func (h *History) Observe(now time.Time, instances []string) {
+	now = h.latest(now)
 	if h.gap(now) {
 		h.memberships = nil
 	}
@@ -90,6 +93,7 @@
 // window. It is false while the history does not cover the window: after the
 // start, after a gap, or when memberships changed too often to be remembered.
 func (h *History) Settled(now time.Time, key, self string) bool {
+	now = h.latest(now)
 	if len(h.memberships) == 0 || h.gap(now) {
 		return false
 	}
@@ -113,9 +117,14 @@
 func (h *History) Forget() { h.memberships = nil }
 
 // gap reports whether the last membership seen says nothing about now.
-func (h *History) gap(now time.Time) bool {
-	since := now.Sub(h.seen)
-	return since < 0 || since > h.window
+func (h *History) gap(now time.Time) bool { return now.Sub(h.seen) > h.window }
+
+// latest returns the later one of now and the time of the last membership seen.
+func (h *History) latest(now time.Time) time.Time {
+	if now.Before(h.seen) {
+		return h.seen
+	}
+	return now
 }
 
 // endsBy reports whether another membership replaced the i-th by the start.
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -84,3 +84,22 @@
 	h.Observe(now.Add(3*window), []string{"a"})
 	c.Assert(h.Settled(now.Add(3*window), "key", "a"), qt.IsFalse)
 }
+
+// TestTimesOutOfOrder checks that events which are taken out of order by a little
+// neither empty the history nor make it begin earlier.
+func TestTimesOutOfOrder(t *testing.T) {
+	c := qt.New(t)
+	h := owner.New(window)
+	start := time.Unix(0, 0)
+	all := []string{"a"}
+	h.Observe(start.Add(time.Millisecond), all)
+	h.Observe(start, all)
+	c.Assert(h.Settled(start.Add(window), "key", "a"), qt.IsFalse)
+	h.Observe(start.Add(window), all)
+	h.Observe(start.Add(window-time.Millisecond), all)
+	h.Observe(start.Add(window+time.Millisecond), all)
+	c.Assert(h.Settled(start.Add(window), "key", "a"), qt.IsTrue)
+	h.Observe(start.Add(window), []string{"a", "b", "c"})
+	h.Observe(start.Add(window-time.Second), all)
+	c.Assert(h.Settled(start.Add(window-time.Second), "key", "b"), qt.IsFalse)
+}
