test(io/front): compare answers over one node and two with those of the server

Cause: nothing showed that methods, targets, headers and bodies pass unchanged. Ruled out: asserting each header by hand, which finds only what is thought of. Change: 17 forms of answers to six kinds of requests, each sent straight to the server, over one node and over two, and compared as a caller sees them. Before: not tested.

--- /dev/null
+++ b/io/front/path_test.go
@@ -0,0 +1,174 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/ticket"
+	"bulrushlock/io/gate"
+	"bulrushlock/io/link"
+	"bulrushlock/io/loop"
+	"bulrushlock/io/turns"
+	"bulrushlock/io/wire"
+)
+
+const testRules = `
+service filing slots=10 cold=10 warm=1   # Test: one service
+route * /claims service=filing idempotent=no body=200KB   # Test: claims
+route * /lines/* service=filing idempotent=yes body=200KB   # Test: lookups
+budget hedge=0%   # Test: one attempt each
+`
+
+// part is a node without its process: an entry and a guard.
+type part struct {
+	callers, nodes *httptest.Server
+}
+
+// newPart returns a node of the given name whose guard stands before server. The
+// list of instances names the guard filing-1 at nodes.
+func newPart(c *qt.C, name string, server netip.AddrPort, nodes netip.AddrPort) part {
+	self := ticket.Node{Instance: name, Incarnation: 1}
+	n := node.New(node.Identity{Instance: name, Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewAware())
+	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {}})
+	c.Cleanup(l.Stop)
+	transport := turns.New(&net.Dialer{}, 8, time.Minute)
+	c.Cleanup(transport.Close)
+	g := gate.New(l, gate.Options{Node: self, Server: server, Transport: transport})
+	k := link.New(l)
+	c.Cleanup(k.Close)
+	w := wire.New(l, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
+	p := part{
+		callers: httptest.NewServer(New(l, Options{Local: g, Remote: k, Asker: w, Scope: tally.NoopScope})),
+		nodes:   httptest.NewServer(g),
+	}
+	c.Cleanup(p.callers.Close)
+	c.Cleanup(p.nodes.Close)
+	if !nodes.IsValid() {
+		nodes = addressOf(p.nodes)
+	}
+	text, err := fleet.Format([]fleet.Instance{
+		{Name: "filing-1", Centre: "north", Service: "filing", Nodes: nodes, Control: nodes},
+	})
+	c.Assert(err, qt.IsNil)
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 1})
+	l.Do(event.Read{At: time.Now(), Document: event.Fleet, Text: text, Revision: 1})
+	return p
+}
+
+// addressOf returns the address of a server.
+func addressOf(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// answers is a backend server whose query tells how it answers.
+func answers(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	q := r.URL.Query()
+	h := w.Header()
+	h.Set("Content-Type", "text/x-test")
+	h.Set("Got", fmt.Sprintf("%s %s %s %d %s", r.Method, r.URL.RequestURI(), r.Host, len(body), r.Header.Get("Accept-Encoding")))
+	h.Add("Set-Cookie", "a=1")
+	h.Add("Set-Cookie", "b=2")
+	if q.Has("zip") {
+		h.Set("Content-Encoding", "gzip")
+	}
+	if q.Has("early") {
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+	size, _ := strconv.Atoi(q.Get("size"))
+	if !q.Has("chunked") {
+		h.Set("Content-Length", strconv.Itoa(size))
+	}
+	if status, err := strconv.Atoi(q.Get("status")); err == nil {
+		if status == http.StatusNoContent || status == http.StatusNotModified {
+			h.Del("Content-Length")
+		}
+		w.WriteHeader(status)
+	}
+	_ = http.NewResponseController(w).Flush()
+	_, _ = io.WriteString(w, strings.Repeat("x", size))
+}
+
+// seen is what a caller sees of an answer.
+type seen struct {
+	Status int
+	Header http.Header
+	Length int64
+	Body   string
+}
+
+// see sends a request to base and returns what its caller sees.
+func see(c *qt.C, base, method, target, body string) seen {
+	r, err := http.NewRequest(method, base+target, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	r.Host = "desk.example"
+	r.Header.Set("Accept-Encoding", "br")
+	a, err := http.DefaultTransport.RoundTrip(r)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	c.Assert(err, qt.IsNil)
+	a.Header.Del("Date")
+	for name := range a.Header {
+		if strings.HasPrefix(name, "Bulrushlock-") {
+			a.Header.Del(name)
+		}
+	}
+	return seen{Status: a.StatusCode, Header: a.Header, Length: a.ContentLength, Body: string(text)}
+}
+
+// What a caller sees must be what the backend server gives, over one node or two.
+func TestAnswersPassUnchanged(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(answers))
+	c.Cleanup(server.Close)
+	one := newPart(c, "filing-1", addressOf(server), netip.AddrPort{})
+	two := newPart(c, "desk-1", addressOf(server), addressOf(one.nodes))
+	queries := []string{
+		"size=0", "size=10", "size=10&chunked", "chunked", "size=70000", "size=70000&chunked", "size=3000000",
+		"size=3000000&chunked", "status=204", "status=304", "status=302&size=5", "status=404&size=5", "status=500&size=5",
+		"status=503&size=5", "zip&size=10", "early&size=10", "size=1&a=%2F%20b&&c",
+	}
+	for _, query := range queries {
+		for _, kind := range []string{"GET /lines/a%2fb", "HEAD /lines/a", "POST /claims", "GET /claims", "PUT /lines/a", "DELETE /claims"} {
+			method, path, _ := strings.Cut(kind, " ")
+			body := ""
+			if method == http.MethodPost || method == http.MethodPut {
+				body = strings.Repeat("y", 100+len(query)*1000)
+			}
+			want := see(c, server.URL, method, path+"?"+query, body)
+			for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
+				got := see(c, base, method, path+"?"+query, body)
+				c.Check(got.Body == want.Body, qt.IsTrue, qt.Commentf("%s?%s over %s: %d bytes", kind, query, name, len(got.Body)))
+				expected := want
+				if want.Length < 0 {
+					// A short answer may get a length on its way.
+					got.Header.Del("Content-Length")
+					got.Length = want.Length
+				}
+				got.Body, expected.Body = "", ""
+				c.Check(got, qt.DeepEquals, expected, qt.Commentf("%s?%s over %s", kind, query, name))
+			}
+		}
+	}
+}
