fix(io/oper): call no node ready that has no list of instances

Cause: a node with rules and no list of instances was called ready, and refused every request. Ruled out: waiting in the entry, which hides the state from operators. Before: TestNodeIsReadyOnceItHasBothDocuments got 200 with rules alone. After: 503 until the list is there. Conclusion: a ready node can send requests on.

--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -141,20 +141,29 @@
 func (o *Oper) live(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 // ready tells whether the node may be sent requests: it has rules and trusts
-// them, it is not leaving, and it is not taken out of service.
+// them, it has a list of instances, it is not leaving, and it is not taken out
+// of service.
 func (o *Oper) ready(w http.ResponseWriter, _ *http.Request) {
-	s := o.read()
-	if s.Closed != "" || s.Leaving || s.Rules == 0 {
-		reason := s.Closed
-		if reason == "" {
-			reason = string(effect.ReasonLeaving)
-		}
-		http.Error(w, reason, http.StatusServiceUnavailable)
+	if reason := unready(o.read()); reason != "" {
+		http.Error(w, string(reason), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// unready returns the reason for which a node in the state s is not ready, or an empty reason.
+func unready(s Status) effect.Reason {
+	switch {
+	case s.Closed != "":
+		return effect.Reason(s.Closed)
+	case s.Leaving:
+		return effect.ReasonLeaving
+	case s.Fleet == 0:
+		return effect.ReasonServers
+	}
+	return ""
+}
+
 // writeJSON writes v as the whole answer.
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/io/oper/oper_test.go
@@ -0,0 +1,43 @@
+package oper
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/io/loop"
+)
+
+const testRules = `
+service filing slots=10   # Test: one service
+`
+
+// A node that has no list of instances can send no request anywhere.
+func TestNodeIsReadyOnceItHasBothDocuments(t *testing.T) {
+	c := qt.New(t)
+	n := node.New(node.Identity{Instance: "filing-1", Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewAware())
+	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {}})
+	defer l.Stop()
+	o := New(l, http.NotFoundHandler())
+	ready := func() int {
+		w := httptest.NewRecorder()
+		o.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/ready", http.NoBody))
+		return w.Code
+	}
+	c.Check(ready(), qt.Equals, http.StatusServiceUnavailable)
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 1})
+	c.Check(ready(), qt.Equals, http.StatusServiceUnavailable)
+	l.Do(event.Read{At: time.Now(), Document: event.Fleet, Text: "[]", Revision: 1})
+	c.Check(ready(), qt.Equals, http.StatusOK)
+	l.Do(event.Leave{At: time.Now()})
+	c.Check(ready(), qt.Equals, http.StatusServiceUnavailable)
+}
