--- a/io/client/client.go
+++ b/io/client/client.go
@@ -120,7 +120,7 @@
 	})
 	w := wire.New(c.loop, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
 	c.link = link.New(c.loop)
-	c.front = front.New(c.loop, front.Options{Self: self.Instance, Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope})
+	c.front = front.New(c.loop, front.Options{Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope})
 	c.carrier.Start(c.loop, w)
 	return c
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f := front.New(l, front.Options{Self: "ledger-1", Local: gate, Remote: link, Asker: wire})
+//	f := front.New(l, front.Options{Local: gate, Remote: link, Asker: wire})
 //	http.Serve(listener, f)
 package front
 
@@ -30,8 +30,6 @@
 
 // Options are what a Front works with besides its loop.
 type Options struct {
-	// Self is the instance of this node.
-	Self string
 	// Local exchanges attempts with the guard of this node.
 	Local xchg.Exchanger
 	// Remote exchanges attempts with the guards of other nodes.
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"bulrushlock/core/depth"
 	"bulrushlock/core/effect"
@@ -82,8 +81,3 @@
 		h.Set(xchg.HeaderLoad, l.String())
 	}
 }
-
-// NewServer returns the HTTP server that takes attempts from other nodes.
-func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
-}
--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -105,11 +105,11 @@
 // send sends r to the entry of instance i and waits for the whole answer.
 func (s *system) send(i int, r request) reply { return <-s.begin(i, r).done }
 
-// warm sends claims to the entry of instance i until it knows the present life of both guards.
-func (s *system) warm(i int) {
+// warm sends claims to the first entry until it knows the present life of both guards.
+func (s *system) warm() {
 	seen := map[string]bool{}
 	until(s.c, "claims ran at both instances", func() bool {
-		a := s.send(i, claim("warm", ""))
+		a := s.send(0, claim("warm", ""))
 		seen[a.server] = true
 		return seen["desk-2"] && seen["desk-3"]
 	})
@@ -122,10 +122,10 @@
 	return s.index(t.Guard.Instance)
 }
 
-// running begins a claim that runs for the given time, and returns once it runs
+// running begins a claim at the first entry that runs for the given time, and returns once it runs
 // at the returned instance.
-func (s *system) running(entry int, id, work string) (p *pending, t string, guard int) {
-	p = s.begin(entry, claim(id, work))
+func (s *system) running(id, work string) (p *pending, t string, guard int) {
+	p = s.begin(0, claim(id, work))
 	until(s.c, "claim runs", func() bool { return s.runsOf(id) == 1 })
 	for len(p.early) > 0 {
 		t = <-p.early
--- a/test/centre_test.go
+++ b/test/centre_test.go
@@ -43,7 +43,7 @@
 func TestCentreThatIsOutGetsNoNewWorkAndComesBack(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	stop := s.load(t)
 	defer stop()
 	until(c, "both instances get work", func() bool { return s.stats(1).Total > 20 && s.stats(2).Total > 20 })
@@ -66,7 +66,7 @@
 func TestNodeThatSleptThroughAChangeTakesNoNewWorkAfterIt(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	asleep := s.instances[1]
 	asleep.node.signal(c, syscall.SIGSTOP)
 	s.post(s.address, "/control/rules", out(place[1].centre))
--- a/test/gone_test.go
+++ b/test/gone_test.go
@@ -13,7 +13,7 @@
 func TestClaimWhoseCallerHasGoneRunsOnceAndIsAnsweredLater(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	conn, err := net.Dial("tcp", s.instances[0].callers.String())
 	c.Assert(err, qt.IsNil)
 	_, err = io.WriteString(conn, "POST /claims HTTP/1.1\r\nHost: a\r\nId: gone\r\nWork: 500ms\r\nContent-Length: 5\r\n\r\nclaim")
@@ -39,7 +39,7 @@
 func TestClaimThatIsCutOnItsWayDoesNotRun(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	for i := range s.instances {
 		// A short body is held by the entry, a long one goes on while it comes.
 		for _, length := range []int{1000, 90_000} {
--- a/test/input_test.go
+++ b/test/input_test.go
@@ -18,8 +18,15 @@
 	"bulrushlock/io/xchg"
 )
 
-// sendText sends the text of a request and returns the head of the answer and its body.
-func (s *system) sendText(a netip.AddrPort, text string) (*http.Response, string) {
+// answered is an answer as it was read from its connection.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// sendText sends the text of a request and reads the answer.
+func (s *system) sendText(a netip.AddrPort, text string) answered {
 	s.c.Helper()
 	conn, err := net.Dial("tcp", a.String())
 	s.c.Assert(err, qt.IsNil)
@@ -35,14 +42,15 @@
 			continue
 		}
 		body, _ := io.ReadAll(r.Body)
-		return r, string(body)
+		s.c.Assert(r.Body.Close(), qt.IsNil)
+		return answered{status: r.StatusCode, header: r.Header, body: string(body)}
 	}
 }
 
 func TestBadRequestsAreRefusedAndDoNotRun(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	long := strings.Repeat("x", 200_000)
 	tests := []struct {
 		name, text, outcome, reason string
@@ -69,11 +77,11 @@
 			if strings.Contains(text, "chunked") {
 				text += fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)
 			}
-			r, body := s.sendText(s.instances[0].callers, text)
-			c.Check(r.StatusCode, qt.Equals, tt.status, qt.Commentf("%s", body))
-			c.Check(r.Header.Get("Bulrushlock-Outcome"), qt.Equals, tt.outcome)
+			r := s.sendText(s.instances[0].callers, text)
+			c.Check(r.status, qt.Equals, tt.status, qt.Commentf("%s", r.body))
+			c.Check(r.header.Get("Bulrushlock-Outcome"), qt.Equals, tt.outcome)
 			if tt.reason != "" {
-				c.Check(r.Header.Get("Bulrushlock-Reason"), qt.Equals, tt.reason)
+				c.Check(r.header.Get("Bulrushlock-Reason"), qt.Equals, tt.reason)
 			}
 		})
 	}
@@ -88,9 +96,9 @@
 func TestTargetWithAHostIsServedByItsPath(t *testing.T) {
 	s := newSystem(t, options{})
 	for i := range s.instances {
-		r, body := s.sendText(s.instances[i].callers, "GET http://elsewhere/lines/far?a=b HTTP/1.1\r\nHost: a\r\nId: far\r\n\r\n")
-		s.c.Check(r.Header.Get("Bulrushlock-Outcome"), qt.Equals, "run", qt.Commentf("%s", body))
-		s.c.Check(body, qt.Contains, `"path":"/lines/far?a=b"`)
+		r := s.sendText(s.instances[i].callers, "GET http://elsewhere/lines/far?a=b HTTP/1.1\r\nHost: a\r\nId: far\r\n\r\n")
+		s.c.Check(r.header.Get("Bulrushlock-Outcome"), qt.Equals, "run", qt.Commentf("%s", r.body))
+		s.c.Check(r.body, qt.Contains, `"path":"/lines/far?a=b"`)
 	}
 }
 
@@ -98,8 +106,8 @@
 	s := newSystem(t, options{})
 	c := s.c
 	n := s.instances[1]
-	r, _ := s.sendText(n.nodes, "POST /claims HTTP/1.1\r\nHost: a\r\nId: plain\r\nContent-Length: 0\r\n\r\n")
-	c.Check(r.StatusCode, qt.Equals, http.StatusBadRequest)
+	r := s.sendText(n.nodes, "POST /claims HTTP/1.1\r\nHost: a\r\nId: plain\r\nContent-Length: 0\r\n\r\n")
+	c.Check(r.status, qt.Equals, http.StatusBadRequest)
 	a := s.send(0, claim("real", ""))
 	known, err := ticket.Parse(a.ticket)
 	c.Assert(err, qt.IsNil)
@@ -127,15 +135,15 @@
 			addressed := good
 			tt.change(&addressed)
 			o := xchg.Offer{Ticket: addressed, Call: depth.Call{Depth: 1, Left: time.Second}, Head: time.Second}
-			r, _ := s.sendText(n.nodes, fmt.Sprintf("POST /claims HTTP/1.1\r\nHost: a\r\nId: reused-%s\r\nContent-Length: 0\r\n"+
+			r := s.sendText(n.nodes, fmt.Sprintf("POST /claims HTTP/1.1\r\nHost: a\r\nId: reused-%s\r\nContent-Length: 0\r\n"+
 				"%s: %v\r\n%s: %v\r\n%s: %s\r\n%s: %s\r\n\r\n", tt.name, xchg.HeaderTicket, o.Ticket, xchg.HeaderCall, o.Call,
 				xchg.HeaderVersions, xchg.VersionsText(o.Versions), xchg.HeaderAttempt, xchg.AttemptText(o)))
 			want := "not-run"
 			if tt.reason == "" {
 				want = "run"
 			}
-			c.Check(r.Header.Get(xchg.HeaderOutcome), qt.Equals, want)
-			c.Check(r.Header.Get(xchg.HeaderReason), qt.Equals, tt.reason)
+			c.Check(r.header.Get(xchg.HeaderOutcome), qt.Equals, want)
+			c.Check(r.header.Get(xchg.HeaderReason), qt.Equals, tt.reason)
 			c.Check(s.runs(1, "reused-"+tt.name) == 1, qt.Equals, want == "run")
 		})
 	}
@@ -162,15 +170,15 @@
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	for entry := range s.instances {
-		var r *http.Response
+		var r answered
 		until(c, "lookup runs", func() bool {
-			r, _ = s.sendText(s.instances[entry].callers, "GET /lines/a HTTP/1.1\r\nHost: desk.example\r\nX-Kept: yes\r\n"+
+			r = s.sendText(s.instances[entry].callers, "GET /lines/a HTTP/1.1\r\nHost: desk.example\r\nX-Kept: yes\r\n"+
 				"Connection: X-Drop, keep-alive\r\nX-Drop: 1\r\nKeep-Alive: 5\r\nProxy-Authorization: x\r\nTE: trailers\r\n"+
 				"Bulrushlock-Attempt: no/1/1/no/1\r\nBulrushlock-Versions: 9.9.9.9.1\r\nbulrushlock-key: k\r\nBulrushlock-Call: 2/3s\r\n\r\n")
-			return r.Header.Get("Bulrushlock-Outcome") == "run"
+			return r.header.Get("Bulrushlock-Outcome") == "run"
 		})
-		c.Check(r.Header.Get("X-Kept"), qt.Equals, "yes")
-		c.Check(r.Header.Get("X-Hop"), qt.Equals, "")
+		c.Check(r.header.Get("X-Kept"), qt.Equals, "yes")
+		c.Check(r.header.Get("X-Hop"), qt.Equals, "")
 		h := <-seen
 		c.Check(h.Get("X-Kept"), qt.Equals, "yes")
 		for _, name := range []string{"X-Drop", "Keep-Alive", "Proxy-Authorization", "Te", "Connection"} {
--- a/test/kill_test.go
+++ b/test/kill_test.go
@@ -10,8 +10,8 @@
 func TestClaimWhoseGuardIsKilledIsUnknownAndRunsOnce(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "killed", "1s")
+	s.warm()
+	p, ticket, guard := s.running("killed", "1s")
 	s.instances[guard].node.kill()
 	a := <-p.done
 	c.Assert(a.err, qt.IsNil)
@@ -38,8 +38,8 @@
 func TestClaimWhoseServerIsKilledIsUnknownAndRunsNowhereElse(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "crashed", "5s")
+	s.warm()
+	p, ticket, guard := s.running("crashed", "5s")
 	s.instances[guard].backend.kill()
 	a := <-p.done
 	c.Assert(a.err, qt.IsNil)
@@ -64,7 +64,7 @@
 	for _, cut := range cuts {
 		t.Run(cut.name, func(t *testing.T) {
 			s := newSystem(t, options{})
-			s.warm(0)
+			s.warm()
 			p := s.begin(0, export("cut", "size=6400000&pace=50ms"))
 			guard := 0
 			// Before its head is sent an export may still be served by another instance.
@@ -85,8 +85,8 @@
 func TestClaimWhoseGuardSleepsRunsAtMostOnce(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "slept", "200ms")
+	s.warm()
+	p, ticket, guard := s.running("slept", "200ms")
 	node := s.instances[guard].node
 	node.signal(c, syscall.SIGSTOP)
 	fresh := s.begin(0, claim("late", ""))
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -28,7 +28,7 @@
 func TestLeavingNodeFinishesAnExportAndRefusesNewWork(t *testing.T) {
 	s := newSystem(t, options{drain: "1s"})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	const size = 6_400_000
 	before := [3]int{0, s.stats(1).Total, s.stats(2).Total}
 	// The first export enters elsewhere, the second one at the leaving node itself.
@@ -76,7 +76,7 @@
 func TestLeavingNodeEndsUnderLoadAndLosesNoClaim(t *testing.T) {
 	s := newSystem(t, options{drain: "1s"})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	stop := s.load(t)
 	defer stop()
 	var sent []*pending
--- a/test/repeat_test.go
+++ b/test/repeat_test.go
@@ -24,8 +24,8 @@
 func TestClaimAskedAfterWhileItRunsIsRunning(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "asked", "2s")
+	s.warm()
+	p, ticket, guard := s.running("asked", "2s")
 	b := s.send(3-guard, claim("asked", "").with("Bulrushlock-Ticket", ticket))
 	a := <-p.done
 	c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
@@ -68,7 +68,7 @@
 func TestClaimSentAgainWithItsKeyWhileItRunsIsNeverNotRun(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	keyed := claim("twice", "1s").with("Idempotency-Key", "k-2").with("Bulrushlock-First", "yes")
 	p := s.begin(0, keyed)
 	until(c, "claim runs", func() bool {
@@ -98,7 +98,7 @@
 func TestClaimWithAnUnknownKeyIsUnknownAndStaysSo(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	keyed := claim("unsure", "").with("Idempotency-Key", "k-3")
 	a := s.send(0, keyed)
 	c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%+v", a))
