test(io/loop): deliver effects, tick, and keep the time line

Cause: the loop had no tests of its own. Ruled out: real time for the ticks. Change: boxes, a full box, ticks in paused time, and the time line with its logs. Before: not tested. After: all pass. Conclusion: no fault found.

--- /dev/null
+++ b/io/loop/loop_test.go
@@ -0,0 +1,118 @@
+package loop
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+)
+
+const testRules = `
+service filing slots=1 cold=1 warm=1 queue=0s   # Test: one service
+`
+
+// newLoop returns the loop of a node with rules, and the effects that belong to no box.
+func newLoop(c *qt.C, logs *strings.Builder) (*Loop, func() []effect.Effect) {
+	var mutex sync.Mutex
+	var carried []effect.Effect
+	n := node.New(node.Identity{Instance: "filing-1", Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewAware())
+	l := New(n, Options{
+		Instance: "filing-1",
+		Centre:   "north",
+		Logger:   slog.New(slog.NewTextHandler(logs, nil)),
+		Scope:    tally.NoopScope,
+		Carry: func(e effect.Effect) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			carried = append(carried, e)
+		},
+	})
+	c.Cleanup(l.Stop)
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 1})
+	return l, func() []effect.Effect {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return append([]effect.Effect(nil), carried...)
+	}
+}
+
+func TestEffectsReachTheirBoxOnly(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLoop(c, &strings.Builder{})
+	one, first := l.Open()
+	two, second := l.Open()
+	c.Check(one == two, qt.IsFalse)
+	l.Do(event.Request{At: time.Now(), ID: one, Method: "GET", Path: "/none"})
+	c.Check((<-first).(effect.Reply).ID, qt.Equals, one)
+	c.Check(len(second), qt.Equals, 0)
+	c.Check(l.Len(), qt.Equals, 2)
+	l.Close(one)
+	l.Close(two)
+	c.Check(l.Len(), qt.Equals, 0)
+	l.Do(event.Request{At: time.Now(), ID: one, Method: "GET", Path: "/none"})
+	c.Check(len(first), qt.Equals, 0)
+}
+
+func TestFullBoxBlocksNobody(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLoop(c, &strings.Builder{})
+	id, box := l.Open()
+	for range 2 * boxSize {
+		l.Do(event.Request{At: time.Now(), ID: id, Method: "GET", Path: "/none"})
+	}
+	c.Check(len(box), qt.Equals, boxSize)
+}
+
+func TestLoopTicksUntilItIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l, carried := newLoop(c, &strings.Builder{})
+		time.Sleep(5 * time.Second)
+		looks := 0
+		for _, e := range carried() {
+			if _, ok := e.(effect.Look); ok {
+				looks++
+			}
+		}
+		// Two looks a second are allowed unless the rules tell another number.
+		c.Check(looks >= 8 && looks <= 12, qt.IsTrue, qt.Commentf("%d looks", looks))
+		l.View(func(n *node.Node) { c.Check(n.Status(time.Now()).Versions.Rules.Revision, qt.Equals, uint64(1)) })
+	})
+}
+
+func TestTimelineHoldsChangesInTheOrderOfTheirStamps(t *testing.T) {
+	c := qt.New(t)
+	var logs strings.Builder
+	l, _ := newLoop(c, &logs)
+	l.Merge("nonsense")
+	l.Merge(l.Stamp())
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: "nonsense", Revision: 2})
+	l.Do(event.Leave{At: time.Now()})
+	records, next, dropped := l.Events(0, 100)
+	var kinds []string
+	for i, r := range records {
+		kinds = append(kinds, r.Kind)
+		c.Check(r.Instance+"/"+r.Centre, qt.Equals, "filing-1/north")
+		if i > 0 {
+			c.Check(records[i-1].Stamp < r.Stamp, qt.IsTrue, qt.Commentf("%s then %s", records[i-1].Stamp, r.Stamp))
+		}
+	}
+	c.Check(kinds, qt.DeepEquals, []string{"start", "rules", "invalid", "leave"})
+	c.Check(dropped, qt.Equals, uint64(0))
+	rest, _, _ := l.Events(next, 100)
+	c.Check(len(rest), qt.Equals, 0)
+	for _, k := range kinds {
+		c.Check(strings.Contains(logs.String(), fmt.Sprintf("msg=%s", k)), qt.IsTrue)
+	}
+}
