fix(io/front): refuse a path with . or .. in it

Cause: rules compare paths as they are, and GET /lines/../claims matched the route of /lines/*. A backend server that resolves the path would run what another rule describes, perhaps a non-idempotent request as an idempotent one. Ruled out: resolving the path here, as servers differ in how they do it. Change: such a path is refused with status 400, outcome not-run, reason path. Before: the cases 'path with dots' and 'path that ends in a dot' were served. After: both are refused. Conclusion: a request is served by the rule of its path or not at all.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -90,6 +91,10 @@
 		p := &problem{Status: http.StatusHTTPVersionNotSupported, Outcome: effect.NotRun.String(), Reason: "version"}
 		return event.Request{}, p
 	}
+	if hasDots(r.URL.Path) {
+		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "path"}
+		return event.Request{}, p
+	}
 	e, err := requestOf(r)
 	if err != nil {
 		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
@@ -97,3 +102,14 @@
 	}
 	return e, nil
 }
+
+// hasDots reports whether a part of path is "." or "..". A backend server may
+// take such a path for another one, which another rule describes.
+func hasDots(path string) bool {
+	for part := range strings.SplitSeq(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/test/input_test.go
+++ b/test/input_test.go
@@ -65,6 +65,8 @@
 		{"no time left", "POST /claims HTTP/1.1\r\nHost: a\r\nBulrushlock-Call: 1/0s\r\n", "not-run", "deadline", 504},
 		{"no route", "POST /lines/bad HTTP/1.1\r\nHost: a\r\n", "not-run", "route", 404},
 		{"no path", "OPTIONS * HTTP/1.1\r\nHost: a\r\n", "not-run", "route", 404},
+		{"path with dots", "GET /lines/%2e%2E/claims HTTP/1.1\r\nHost: a\r\n", "not-run", "path", 400},
+		{"path that ends in a dot", "GET /lines/. HTTP/1.1\r\nHost: a\r\n", "not-run", "path", 400},
 		{"long body", "POST /claims HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n", "not-run", "body", 413},
 		{"long chunked body", "POST /claims HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n", "unknown", "", 502},
 		{"two lengths", "POST /claims HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n", "", "", 400},
