fix(io/front): tell a caller that its chunked body is too large

Cause: a body of unknown length that passes its limit breaks the exchange, and the caller was told broken or void, by chance of where it broke. Ruled out: holding such bodies until their length is known. Change: the reason is body and the status 413; the outcome stays what is known, not-run or unknown. Before: the case 'long chunked body' expected unknown and failed once in six runs of the package with not-run, which was as true. Conclusion: the cause is told, and the outcome is never better than known.

--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -63,6 +63,9 @@
 // reply answers the caller without an answer of a backend server.
 func (v *visit) reply(e effect.Reply) {
 	v.outcome = e.Outcome
+	if v.over.Load() {
+		e.Reason = effect.ReasonBody
+	}
 	p := problem{Status: statusOf(e), Outcome: e.Outcome.String(), Reason: string(e.Reason), Detail: detailOf(e)}
 	if e.Ticket != nil {
 		p.Ticket = e.Ticket.String()
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/depth"
@@ -117,7 +118,7 @@
 	if v.request.ContentLength >= 0 {
 		return v.stream, v.request.ContentLength
 	}
-	return &limited{reader: v.stream, left: limit}, -1
+	return &limited{reader: v.stream, left: limit, over: &v.over}, -1
 }
 
 // errTooLarge is the cause of a BodyError for a body of unknown length that is too large.
@@ -127,6 +128,7 @@
 type limited struct {
 	reader io.Reader
 	left   int64
+	over   *atomic.Bool
 }
 
 // Read reads from the body and fails with a *BodyError past the limit.
@@ -134,6 +136,7 @@
 	n, err := l.reader.Read(b)
 	l.left -= int64(n)
 	if l.left < 0 {
+		l.over.Store(true)
 		return 0, &BodyError{Cause: errTooLarge}
 	}
 	return n, err
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -24,6 +25,8 @@
 	box     <-chan effect.Effect
 	held    []byte
 	stream  io.Reader
+	// over tells that a body of unknown length was larger than its rule allows.
+	over    atomic.Bool
 	outcome effect.Outcome
 	// recovered is the kept answer that a guard gave when it was asked.
 	recovered *event.Answer
