test: cross late answers, and kill or stop the entry of a claim

Cause: answers that come after their caller has given up, and an entry that dies or sleeps, were not tried. Ruled out: one long deadline for all callers, under which nothing is late. Change: a case of late answers with short deadlines; a claim whose entry is killed, asked after at the others; a claim whose entry sleeps through its end. Before: not tested.

--- a/test/cross_test.go
+++ b/test/cross_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,39 +12,58 @@
 	"bulrushlock/io/stand"
 )
 
-// Backend servers send a second answer after each one on their kept connections,
-// while callers at every entry send lookups and claims.
+// Callers at every entry send lookups and claims, while the backend servers do
+// what could bring the answer to one request before the caller of another.
 func TestNoCallerGetsTheAnswerOfAnother(t *testing.T) {
-	s := newSystem(t, options{})
-	for i := range s.instances {
-		s.post(s.instances[i].server, "/control?fault=extra", "")
+	tests := []struct {
+		name, fault string
+		// left is the time that every second caller waits.
+		left string
+	}{
+		{"a second answer after each one", "extra", "5s"},
+		{"answers after their callers have given up", "late&time=60ms", "40ms"},
 	}
-	var callers sync.WaitGroup
-	var mutex sync.Mutex
-	ran := 0
-	for worker := range 9 {
-		callers.Go(func() {
-			for n := range 30 {
-				id := fmt.Sprintf("caller-%d-%d", worker, n)
-				r := lookup(id)
-				if n%2 == 1 {
-					r = claim(id, "")
-				}
-				a := s.send(worker%3, r)
-				if a.err != nil || a.outcome != "run" {
-					continue
-				}
-				var e stand.Echo
-				if err := json.Unmarshal([]byte(a.body), &e); err != nil || e.ID != id {
-					t.Errorf("the answer to %s is %q", id, a.body)
-				}
-				mutex.Lock()
-				ran++
-				mutex.Unlock()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, options{})
+			for i := range s.instances {
+				s.post(s.instances[i].server, "/control?fault="+tt.fault, "")
 			}
+			var callers sync.WaitGroup
+			var ran atomic.Int32
+			for worker := range 9 {
+				callers.Go(func() {
+					for n := range 30 {
+						if s.callAs(t, fmt.Sprintf("caller-%d-%d", worker, n), worker%3, n, tt.left) {
+							ran.Add(1)
+						}
+					}
+				})
+			}
+			callers.Wait()
+			s.c.Check(ran.Load() > 0, qt.IsTrue)
+			t.Logf("%d of 270 requests ran", ran.Load())
 		})
 	}
-	callers.Wait()
-	s.c.Check(ran > 0, qt.IsTrue)
-	t.Logf("%d of 270 requests ran", ran)
+}
+
+// callAs sends the n-th request of a caller, checks that an answer is its own,
+// and reports whether there was one.
+func (s *system) callAs(t *testing.T, id string, entry, n int, left string) bool {
+	r := lookup(id)
+	if n%2 == 1 {
+		r = claim(id, "")
+	}
+	if n%4 < 2 {
+		r = r.with("Bulrushlock-Call", "0/"+left)
+	}
+	a := s.send(entry, r)
+	if a.err != nil || a.outcome != "run" {
+		return false
+	}
+	var e stand.Echo
+	if err := json.Unmarshal([]byte(a.body), &e); err != nil || e.ID != id {
+		t.Errorf("the answer to %s is %q", id, a.body)
+	}
+	return true
 }
--- a/test/kill_test.go
+++ b/test/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -109,3 +110,35 @@
 		c.Check(runs, qt.Equals, 1)
 	}
 }
+
+func TestClaimWhoseEntryIsGoneIsAnsweredByAnother(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	p, ticket, _ := s.running("orphan", "500ms")
+	s.instances[0].node.kill()
+	a := <-p.done
+	c.Check(a.err, qt.IsNotNil)
+	for _, i := range []int{1, 2} {
+		a := s.send(i, claim("orphan", "").with("Bulrushlock-Ticket", ticket))
+		c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+		c.Check(a.body, qt.Contains, `"id":"orphan"`)
+	}
+	c.Check(s.runsOf("orphan"), qt.Equals, 1)
+}
+
+func TestClaimWhoseEntrySleepsIsAnsweredWhenItWakes(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	p, _, guard := s.running("dozed", "300ms")
+	s.instances[0].node.signal(c, syscall.SIGSTOP)
+	until(c, "claim has ended", func() bool { return s.stats(guard).Busy == 0 })
+	time.Sleep(2 * time.Second)
+	s.instances[0].node.signal(c, syscall.SIGCONT)
+	a := <-p.done
+	c.Check(a.err, qt.IsNil)
+	c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+	c.Check(a.body, qt.Contains, `"id":"dozed"`)
+	c.Check(s.runsOf("dozed"), qt.Equals, 1)
+}
