fix(io/turns): send a request on another connection while nothing of it is sent

Cause: a kept connection that its server had closed refused the request that was given it, and the guard took that for a server that refuses connections. Ruled out: trying again after the body was read, which cannot be read twice. Change: up to three connections are tried while nothing of the body was read; a body that was given up can no longer be read by the transport. Conclusion: closing a connection that is not used costs no request.

--- a/io/turns/turns.go
+++ b/io/turns/turns.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -67,21 +68,70 @@
 
 // RoundTrip sends r and returns the head of its answer. It fails with an
 // *UnsentError where the server has seen nothing of r and never will.
+//
+// A request of which nothing was read or written, because its kept connection
+// was closed meanwhile, is sent on another one.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var x exchange
-	trace := &httptrace.ClientTrace{GotConn: x.take}
-	a, err := t.inner.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil && x.abandon() {
-		return nil, &UnsentError{Cause: err}
+	for tries := 1; ; tries++ {
+		var x exchange
+		trace := &httptrace.ClientTrace{GotConn: x.take}
+		b := &body{ReadCloser: r.Body}
+		sent := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+		if r.Body != nil && r.Body != http.NoBody {
+			sent.Body = b
+		}
+		a, err := t.inner.RoundTrip(sent)
+		if err == nil || !x.abandon() {
+			return a, err
+		}
+		if !b.revoke() || !x.reused || tries == mostTries || r.Context().Err() != nil {
+			return nil, &UnsentError{Cause: err}
+		}
+	}
+}
+
+// mostTries is the largest number of connections that are tried for one request.
+const mostTries = 3
+
+// body is the body of a request on one of its connections. Whoever made it closes it.
+type body struct {
+	io.ReadCloser
+	mutex   sync.Mutex
+	touched bool
+	revoked bool
+}
+
+// Read reads the body, unless it was revoked: the transport may come to read it
+// after it has given up the connection.
+func (b *body) Read(p []byte) (int, error) {
+	b.mutex.Lock()
+	revoked := b.revoked
+	b.touched = b.touched || !revoked
+	b.mutex.Unlock()
+	if revoked {
+		return 0, net.ErrClosed
 	}
-	return a, err
+	return b.ReadCloser.Read(p)
 }
 
+// revoke ends the use of the body and reports whether nothing of it was read.
+func (b *body) revoke() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.revoked = true
+	return !b.touched
+}
+
+// Close does nothing.
+func (b *body) Close() error { return nil }
+
 // exchange is one request on the connections that were chosen for it, of which
 // there are several where the first ones were closed before anything was written.
 type exchange struct {
 	mutex sync.Mutex
 	conns []*conn
+	// reused tells that the last connection had served requests before.
+	reused bool
 }
 
 // take gives the request its turn on a connection.
@@ -94,6 +144,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.conns = append(x.conns, c)
+	x.reused = i.Reused
 }
 
 // abandon gives up the request and reports whether nothing of it was or will be written.
--- a/io/turns/turns_test.go
+++ b/io/turns/turns_test.go
@@ -158,3 +158,18 @@
 	c.Check(errors.As(err, &unsolicited), qt.IsTrue)
 	c.Check(w.abandon(), qt.IsTrue)
 }
+
+// A connection that its server closes while it is not used costs no request.
+func TestRequestGoesOnAnotherConnectionWhileNothingIsSent(t *testing.T) {
+	c := qt.New(t)
+	url, requests := serve(c, func(n int32, conn net.Conn) {
+		_, _ = io.WriteString(conn, text("ok")+text("stray"))
+	})
+	tr := newTransport(c)
+	for range 200 {
+		got, err := send(c, tr, url)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, "ok")
+	}
+	c.Check(requests.Load(), qt.Equals, int32(200))
+}
