--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,13 +3,14 @@
 //
 // # Usage
 //
-//	f := front.New(l, front.Options{Self: "ledger-1", Local: gate, Remote: link, Asker: wire})
+//	f := front.New(l, front.Options{Local: gate, Remote: link, Asker: wire})
 //	http.Serve(listener, f)
 package front
 
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -30,8 +31,6 @@
 
 // Options are what a Front works with besides its loop.
 type Options struct {
-	// Self is the instance of this node.
-	Self string
 	// Local exchanges attempts with the guard of this node.
 	Local xchg.Exchanger
 	// Remote exchanges attempts with the guards of other nodes.
@@ -92,6 +91,10 @@
 		p := &problem{Status: http.StatusHTTPVersionNotSupported, Outcome: effect.NotRun.String(), Reason: "version"}
 		return event.Request{}, p
 	}
+	if hasDots(r.URL.Path) {
+		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "path"}
+		return event.Request{}, p
+	}
 	e, err := requestOf(r)
 	if err != nil {
 		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
@@ -99,3 +102,14 @@
 	}
 	return e, nil
 }
+
+// hasDots reports whether a part of path is "." or "..". A backend server may
+// take such a path for another one, which another rule describes.
+func hasDots(path string) bool {
+	for part := range strings.SplitSeq(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/test/kill_test.go
+++ b/test/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -10,8 +11,8 @@
 func TestClaimWhoseGuardIsKilledIsUnknownAndRunsOnce(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "killed", "1s")
+	s.warm()
+	p, ticket, guard := s.running("killed", "1s")
 	s.instances[guard].node.kill()
 	a := <-p.done
 	c.Assert(a.err, qt.IsNil)
@@ -38,8 +39,8 @@
 func TestClaimWhoseServerIsKilledIsUnknownAndRunsNowhereElse(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "crashed", "5s")
+	s.warm()
+	p, ticket, guard := s.running("crashed", "5s")
 	s.instances[guard].backend.kill()
 	a := <-p.done
 	c.Assert(a.err, qt.IsNil)
@@ -64,7 +65,7 @@
 	for _, cut := range cuts {
 		t.Run(cut.name, func(t *testing.T) {
 			s := newSystem(t, options{})
-			s.warm(0)
+			s.warm()
 			p := s.begin(0, export("cut", "size=6400000&pace=50ms"))
 			guard := 0
 			// Before its head is sent an export may still be served by another instance.
@@ -85,8 +86,8 @@
 func TestClaimWhoseGuardSleepsRunsAtMostOnce(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "slept", "200ms")
+	s.warm()
+	p, ticket, guard := s.running("slept", "200ms")
 	node := s.instances[guard].node
 	node.signal(c, syscall.SIGSTOP)
 	fresh := s.begin(0, claim("late", ""))
@@ -109,3 +110,35 @@
 		c.Check(runs, qt.Equals, 1)
 	}
 }
+
+func TestClaimWhoseEntryIsGoneIsAnsweredByAnother(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	p, ticket, _ := s.running("orphan", "500ms")
+	s.instances[0].node.kill()
+	a := <-p.done
+	c.Check(a.err, qt.IsNotNil)
+	for _, i := range []int{1, 2} {
+		a := s.send(i, claim("orphan", "").with("Bulrushlock-Ticket", ticket))
+		c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+		c.Check(a.body, qt.Contains, `"id":"orphan"`)
+	}
+	c.Check(s.runsOf("orphan"), qt.Equals, 1)
+}
+
+func TestClaimWhoseEntrySleepsIsAnsweredWhenItWakes(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	p, _, guard := s.running("dozed", "300ms")
+	s.instances[0].node.signal(c, syscall.SIGSTOP)
+	until(c, "claim has ended", func() bool { return s.stats(guard).Busy == 0 })
+	time.Sleep(2 * time.Second)
+	s.instances[0].node.signal(c, syscall.SIGCONT)
+	a := <-p.done
+	c.Check(a.err, qt.IsNil)
+	c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+	c.Check(a.body, qt.Contains, `"id":"dozed"`)
+	c.Check(s.runsOf("dozed"), qt.Equals, 1)
+}
