fix(core/ramp): keep a cold backend server at its cold bound until it is warm

Cause: the bound grew evenly from the first completed request on, so a backend server that stays cold for as long as its rule says ran three requests at once where it bears two. Seen in the demo with rules cold=2 warm=40. Ruled out: growth by time, and a jump to all slots once it is warm. Change: the bound stays at cold until warm requests are completed and then grows by one with each further one. A running request asked after past its deadline is answered 409, as every running one.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -1,11 +1,12 @@
 // Package ramp bounds the work of a backend server in cold start.
 //
-// The bound grows with completed requests and not with time: a backend server
-// that completes nothing gets no more than at the start.
+// The bound stays at that of a cold backend server until so many requests are
+// completed that it is warm, and then grows by one with each further one. It
+// does not grow with time: a backend server that completes nothing gets no more.
 //
 // # Usage
 //
-//	r := ramp.New(2, 10, 100) // 2 at once at first, 10 after 100 requests
+//	r := ramp.New(2, 10, 100) // 2 at once for 100 requests, 10 after 8 more
 //	if inFlight < r.Bound() {
 //		forward()
 //		r.Complete()
@@ -24,8 +25,8 @@
 	done int
 }
 
-// New returns a Ramp that starts cold. Its bound is cold at first and full after
-// warm completed requests.
+// New returns a Ramp that starts cold. Its bound is cold until warm requests are
+// completed, and grows to full with the requests that follow.
 func New(cold, full, warm int) *Ramp {
 	r := &Ramp{}
 	r.Resize(cold, full, warm)
@@ -38,17 +39,17 @@
 
 // Complete counts a request that the backend server has completed.
 func (r *Ramp) Complete() {
-	if r.IsCold() {
+	if r.done < r.end() {
 		r.done++
 	}
 }
 
+// end returns the number of completed requests after which the bound is full.
+func (r *Ramp) end() int { return r.warm + r.full - r.cold }
+
 // Bound returns the number of requests that the backend server may run at once.
 func (r *Ramp) Bound() int {
-	if !r.IsCold() {
-		return r.full
-	}
-	return r.cold + (r.full-r.cold)*r.done/r.warm
+	return r.cold + max(0, r.done-r.warm)
 }
 
 // IsCold tells whether the backend server has yet to complete the requests that
@@ -56,13 +57,14 @@
 func (r *Ramp) IsCold() bool { return r.done < r.warm }
 
 // Resize changes the bounds and keeps the count of completed requests; a Ramp
-// that was warm stays warm. Bounds below 1 count as 1, and cold is at most full.
+// that was warm gets the full bound at once. Bounds below 1 count as 1, and cold is at most full.
 func (r *Ramp) Resize(cold, full, warm int) {
 	wasWarm := !r.IsCold()
 	r.full = max(full, 1)
 	r.cold = min(max(cold, 1), r.full)
 	r.warm = max(warm, 0)
 	if wasWarm {
-		r.done = r.warm
+		r.done = r.end()
 	}
+	r.done = min(r.done, r.end())
 }
--- a/io/demo/rules.go
+++ b/io/demo/rules.go
@@ -52,10 +52,10 @@
 	warm int
 }
 
-// coldStarts are the cold starts of the backend servers of each service. They end
-// before the rules let a guard admit more than slots requests at once.
+// coldStarts are the cold starts of the backend servers of each service, as the
+// rules tell them.
 var coldStarts = map[string]coldStart{
-	"ledger": {slots: 2, warm: 5},
-	"filing": {slots: 2, warm: 5},
-	"audit":  {slots: 1, warm: 2},
+	"ledger": {slots: 2, warm: 40},
+	"filing": {slots: 2, warm: 40},
+	"audit":  {slots: 1, warm: 10},
 }
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -80,6 +80,9 @@
 
 // statusOf returns the HTTP status that stands for an outcome and its reason.
 func statusOf(e effect.Reply) int {
+	if e.Outcome == effect.Running {
+		return http.StatusConflict
+	}
 	switch e.Reason {
 	case effect.ReasonRoute:
 		return http.StatusNotFound
@@ -90,12 +93,8 @@
 	case effect.ReasonDeadline:
 		return http.StatusGatewayTimeout
 	}
-	switch e.Outcome {
-	case effect.Running:
-		return http.StatusConflict
-	case effect.Unknown:
+	if e.Outcome == effect.Unknown {
 		return http.StatusBadGateway
-	case effect.Run, effect.NotRun:
 	}
 	return http.StatusServiceUnavailable
 }
