fix(io/turns): let a request that fails late speak for its own turn only

Cause: a request that was given up just as its answer came could find its connection in the turn of the next request, take that one's state for its own, call itself unsent, and close the connection under the other. Ruled out: holding the connection until both have ended, which net/http decides. Change: turns are numbered, and a turn that has passed counts as sent. Before: found by reading; TestAbandonLeavesALaterTurnAlone needs the number. Conclusion: unsent is told of a request only in its own turn.

--- a/io/turns/conn.go
+++ b/io/turns/conn.go
@@ -24,6 +24,8 @@
 	// unsent tells that a request has its turn and that nothing of it was written.
 	unsent bool
 	closed bool
+	// turn is the number of the present turn.
+	turn uint64
 }
 
 // newConn returns a connection whose first turn has not begun.
@@ -36,21 +38,23 @@
 	return w
 }
 
-// begin starts the turn of a request. It waits until all that was read before
+// begin starts the turn of a request and returns its number. It waits until all that was read before
 // is used up: only then does the transport read on, or close the connection.
-func (c *conn) begin() {
+func (c *conn) begin() uint64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for !c.reading && !c.closed {
 		c.changed.Wait()
 	}
 	c.unsent = true
+	c.turn++
+	return c.turn
 }
 
-// abandon ends a turn and reports whether nothing of its request was or will be written.
-func (c *conn) abandon() bool {
+// abandon ends a turn, unless the connection serves a later one already, and reports whether nothing of its request was or will be written.
+func (c *conn) abandon(turn uint64) bool {
 	c.mutex.Lock()
-	unsent := c.unsent
+	unsent := c.unsent && c.turn == turn
 	c.closed = c.closed || unsent
 	c.mutex.Unlock()
 	if unsent {
--- a/io/turns/turns.go
+++ b/io/turns/turns.go
@@ -129,21 +129,27 @@
 // there are several where the first ones were closed before anything was written.
 type exchange struct {
 	mutex sync.Mutex
-	conns []*conn
+	turns []turn
 	// reused tells that the last connection had served requests before.
 	reused bool
 }
 
+// turn is one turn of a request on a connection.
+type turn struct {
+	conn   *conn
+	number uint64
+}
+
 // take gives the request its turn on a connection.
 func (x *exchange) take(i httptrace.GotConnInfo) {
 	c, ok := i.Conn.(*conn)
 	if !ok {
 		return
 	}
-	c.begin()
+	n := c.begin()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.conns = append(x.conns, c)
+	x.turns = append(x.turns, turn{conn: c, number: n})
 	x.reused = i.Reused
 }
 
@@ -152,8 +158,8 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	unsent := true
-	for _, c := range x.conns {
-		unsent = c.abandon() && unsent
+	for _, t := range x.turns {
+		unsent = t.conn.abandon(t.number) && unsent
 	}
 	return unsent
 }
--- a/io/turns/turns_test.go
+++ b/io/turns/turns_test.go
@@ -127,12 +127,12 @@
 		_, err := w.Read(make([]byte, 8))
 		read <- err
 	}()
-	w.begin()
+	turn := w.begin()
 	_, err := far.Write([]byte("x"))
 	c.Assert(err, qt.IsNil)
 	var unsolicited *UnsolicitedError
 	c.Check(errors.As(<-read, &unsolicited), qt.IsTrue)
-	c.Check(w.abandon(), qt.IsTrue)
+	c.Check(w.abandon(turn), qt.IsTrue)
 	_, err = w.Write([]byte("late"))
 	c.Check(errors.Is(err, net.ErrClosed), qt.IsTrue)
 }
@@ -156,7 +156,27 @@
 	_, err = w.Write([]byte("request"))
 	var unsolicited *UnsolicitedError
 	c.Check(errors.As(err, &unsolicited), qt.IsTrue)
-	c.Check(w.abandon(), qt.IsTrue)
+	c.Check(w.abandon(0), qt.IsTrue)
+}
+
+// A request that fails late must not speak for the next one on its connection.
+func TestAbandonLeavesALaterTurnAlone(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	w := newConn(near)
+	go func() { _, _ = w.Read(make([]byte, 8)) }()
+	first := w.begin()
+	go func() { _, _ = far.Read(make([]byte, 8)) }()
+	_, err := w.Write([]byte("first"))
+	c.Assert(err, qt.IsNil)
+	second := w.begin()
+	c.Check(w.abandon(first), qt.IsFalse)
+	go func() { _, _ = far.Read(make([]byte, 8)) }()
+	_, err = w.Write([]byte("second"))
+	c.Check(err, qt.IsNil)
+	c.Check(w.abandon(second), qt.IsFalse)
+	c.Check(w.Close(), qt.IsNil)
 }
 
 // A connection that its server closes while it is not used costs no request.
