fix(io/gate): let a claim that has begun run past its deadline

Cause: the exchange with the backend server was broken off at the deadline, so the answer of a claim that had run was lost and its ticket said unknown for ever. Ruled out: no time limit at all, since a backend server that never answers would keep the slot. Change: a non-idempotent attempt runs on for up to a minute; its sender is answered at the deadline as before, and its ticket leads to the answer. Before: TestClaimThatOutlivesItsDeadlineIsAnsweredByItsTicket had no answer to find. After: it passes, one run each.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -207,7 +207,7 @@
 // serve starts to serve the listeners.
 func (d *Daemon) serve(l listeners, w *wire.Wire, self ticket.Node, scope tally.Scope, metrics http.Handler) {
 	d.link = link.New(d.loop)
-	g := gate.New(d.loop, gate.Options{Node: self, Server: d.settings.Server, Transport: serverTransport()})
+	g := gate.New(d.loop, gate.Options{Node: self, Server: d.settings.Server, Transport: serverTransport(), Finish: gate.FinishTime})
 	f := front.New(d.loop, front.Options{Local: g, Remote: d.link, Asker: w, Scope: scope})
 	d.carrier.Start(d.loop, w)
 	go w.Serve(l.control)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -26,6 +26,10 @@
 // request is kept for a caller that asks again.
 const keptBody = 64 << 10
 
+// FinishTime is the usual time past its deadline for which a non-idempotent
+// request runs on, so that its caller can ask after the answer.
+const FinishTime = time.Minute
+
 // Options are what a Gate works with besides its loop.
 type Options struct {
 	Node ticket.Node
@@ -33,6 +37,8 @@
 	Server netip.AddrPort
 	// Transport carries requests to the backend server.
 	Transport *turns.Transport
+	// Finish is the time past its deadline for which a non-idempotent request runs on.
+	Finish time.Duration
 }
 
 // Gate stands between all entries and one backend server.
@@ -53,8 +59,27 @@
 }
 
 // Exchange offers an attempt to the guard of this node and returns its answer.
-// The error is always nil: the guard of the same node can always be reached.
+// It fails with a *xchg.BrokenError when a non-idempotent attempt runs past its
+// deadline; the attempt runs on, and its answer is kept.
 func (g *Gate) Exchange(ctx context.Context, o xchg.Offer) (xchg.Answer, error) {
+	if o.Idempotent {
+		return g.pass(ctx, o), nil
+	}
+	answers := make(chan xchg.Answer, 1)
+	go func() { answers <- g.pass(ctx, o) }()
+	overdue := time.NewTimer(o.Head)
+	defer overdue.Stop()
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-overdue.C:
+		go func() { closeBody((<-answers).Body) }()
+		return xchg.Answer{}, &xchg.BrokenError{Cause: context.DeadlineExceeded, Expired: true}
+	}
+}
+
+// pass offers an attempt to the guard and waits for the answer.
+func (g *Gate) pass(ctx context.Context, o xchg.Offer) xchg.Answer {
 	arrival, box := g.loop.Open()
 	p := &passage{gate: g, arrival: arrival, box: box, offer: o, source: source{reader: o.Body}}
 	g.loop.Do(event.Attempt{
@@ -79,7 +104,7 @@
 	a.Guard = g.options.Node
 	load, versions := g.loop.Load()
 	a.Load, a.Versions = &load, versions
-	return a, nil
+	return a
 }
 
 // passage is one attempt on its way through the gate.
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -19,11 +19,13 @@
 
 // serve sends an admitted attempt to the backend server.
 func (p *passage) serve(ctx context.Context, e effect.Admit) xchg.Answer {
+	longest := p.offer.Head
 	if !p.offer.Idempotent {
 		ctx = context.WithoutCancel(ctx)
+		longest += p.gate.options.Finish
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	overdue := time.AfterFunc(p.offer.Head, func() { cancel(context.DeadlineExceeded) })
+	overdue := time.AfterFunc(longest, func() { cancel(context.DeadlineExceeded) })
 	// An answer that is kept is read whole before its head is sent on.
 	defer overdue.Stop()
 	began := time.Now()
--- a/test/repeat_test.go
+++ b/test/repeat_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -116,3 +117,21 @@
 	b := s.send(1, lookup("seen").with("Bulrushlock-Ticket", a.ticket))
 	s.c.Check(b.outcome, qt.Equals, "run", qt.Commentf("%+v", b))
 }
+
+func TestClaimThatOutlivesItsDeadlineIsAnsweredByItsTicket(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	for i := range s.instances {
+		id := fmt.Sprintf("late-%d", i)
+		a := s.send(i, claim(id, "3s"))
+		c.Assert(a.outcome, qt.Not(qt.Equals), "not-run", qt.Commentf("%+v", a))
+		var b reply
+		until(c, "the answer is kept", func() bool {
+			b = s.send(2-i, claim(id, "").with("Bulrushlock-Ticket", a.ticket))
+			return b.outcome == "run"
+		})
+		c.Check(b.body, qt.Contains, id)
+		c.Check(s.runsOf(id), qt.Equals, 1)
+	}
+}
