--- a/core/gossip/fetch_test.go
+++ b/core/gossip/fetch_test.go
@@ -68,3 +68,32 @@
 	c.Assert(out, qt.HasLen, 1)
 	c.Assert(out[0].(effect.Fetch).Peer.Control, qt.Equals, control)
 }
+
+func TestInvalidTextConfirmsTheRulesBeforeIt(t *testing.T) {
+	tests := []struct {
+		name    string
+		invalid []uint64
+		fresh   bool
+	}{
+		{name: "the next revision", invalid: []uint64{2}, fresh: true},
+		{name: "two in a row", invalid: []uint64{2, 3}, fresh: true},
+		{name: "read twice", invalid: []uint64{2, 2}, fresh: true},
+		{name: "a revision may have been missed", invalid: []uint64{3}, fresh: false},
+		{name: "missed after the first", invalid: []uint64{2, 4}, fresh: false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			g := gossip.New("i0", "north")
+			read(g, now, event.Rules, 1, ruleText)
+			for _, revision := range tt.invalid {
+				now = now.Add(time.Minute)
+				read(g, now, event.Rules, revision, "nonsense")
+			}
+			c.Assert(g.Age(now) == 0, qt.Equals, tt.fresh)
+			v := g.Versions(now)
+			c.Assert(v.Rules.Revision, qt.Equals, uint64(1))
+		})
+	}
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -75,6 +75,8 @@
 	// wanted is the version that a peer was asked for at the time asked.
 	wanted view.Version
 	asked  time.Time
+	// passed is the last of the invalid revisions that follow the held one without a gap.
+	passed uint64
 	// refused is the last revision that was refused.
 	refused uint64
 	// other is a second peer that told of the version spare meanwhile, or is nil.
@@ -153,19 +155,39 @@
 	verdict, err := g.offer(e)
 	if err != nil {
 		g.delay(e, e.Document, e.From, random)
-		return Change{}, g.noteInvalid(e, err, out)
+		return g.passOver(e, g.noteInvalid(e, err, out))
 	}
 	switch verdict {
 	case view.Taken:
 		return g.taken(e, random, out)
 	case view.Known:
 		return g.confirmed(e.At, e.Document, e.From, out)
-	case view.Older, view.Invalid:
+	case view.Invalid:
+		g.delay(e, e.Document, e.From, random)
+		return g.passOver(e, out)
+	case view.Older:
 	}
 	g.delay(e, e.Document, e.From, random)
 	return Change{}, append(out, effect.Count{Name: "older_document"})
 }
 
+// passOver confirms the document that this node holds where every revision from
+// it to the invalid one of e is known to be invalid.
+func (g *Gossip) passOver(e event.Read, out []effect.Effect) (Change, []effect.Effect) {
+	r := &g.reads[e.Document]
+	held := g.version(e.Document).Revision
+	if held == 0 {
+		return Change{}, out
+	}
+	if e.Revision == max(held, r.passed)+1 {
+		r.passed = e.Revision
+	}
+	if e.Revision != r.passed {
+		return Change{}, out
+	}
+	return g.confirmed(e.At, e.Document, e.From, out)
+}
+
 // offer offers a document to its view.
 func (g *Gossip) offer(e event.Read) (view.Verdict, error) {
 	if e.Document == event.Fleet {
