fix(core/guard): bound the memory of kept answers

Cause: up to 16,384 answers of 64 KiB could be kept, about 1 GB; and look=0 left a backend server that had once refused a connection without work for good. Change: the bodies of kept answers take at most 4 MiB; the oldest are given up while what became of their attempts stays known. A budget has at least one look a second. Checked: TestOldAnswersAreGivenUpAndTheirAttemptsStayKnown.

--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -230,7 +230,7 @@
 		g.ledger.Refuse(w.ticket, e.At)
 		return
 	}
-	g.ledger.Finish(w.ticket, e.Answer, e.At)
+	g.keep(w.ticket, e)
 }
 
 // shed reports whether the backend server refused the request before it ran.
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -67,6 +67,7 @@
 	limit    *limit.Limit
 	ledger   *ledger.Ledger[*event.Answer]
 	keys     keys
+	kept     kept
 	busy     map[uint64]work
 	waiting  *queue.Queue[uint64]
 	waiters  map[uint64]event.Attempt
--- /dev/null
+++ b/core/guard/kept_test.go
@@ -0,0 +1,31 @@
+package guard_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/guard"
+)
+
+func TestOldAnswersAreGivenUpAndTheirAttemptsStayKnown(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	const count = 6
+	for i := uint64(1); i <= count; i++ {
+		find[effect.Admit](c, g.Attempt(attempt(i, ""), guard.Gate{}, nil))
+		answer := &event.Answer{Status: 200, Body: make([]byte, 1<<20)}
+		g.Served(event.Served{At: now, Arrival: i, Status: 200, Answer: answer}, nil)
+	}
+	kept := 0
+	for i := uint64(1); i <= count; i++ {
+		v := find[effect.Verdict](c, g.Asked(event.Asked{At: now, Ticket: attempt(i, "").Ticket}, nil))
+		c.Check(v.Verdict, qt.Equals, event.Ran)
+		if v.Answer != nil {
+			kept++
+		}
+	}
+	c.Assert(kept, qt.Equals, 4)
+}
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -56,7 +56,7 @@
 // budgetKeys lists the keys of a budget rule.
 var budgetKeys = []key[Budget]{
 	intKey("probe", 0, maxRate, "5", func(b *Budget) *int { return &b.Probe }),
-	intKey("look", 0, maxRate, "2", func(b *Budget) *int { return &b.Look }),
+	intKey("look", 1, maxRate, "2", func(b *Budget) *int { return &b.Look }),
 	shareKey("retry", "10%", func(b *Budget) *float64 { return &b.Retry }),
 	shareKey("hedge", "2%", func(b *Budget) *float64 { return &b.Hedge }),
 }
