fix(core/entry): send a large upload again while nothing of it was read

Cause: a body over 64 KiB is sent once, so the first one to a guard whose life the entry did not know was answered not-run, after each restart of that guard. Ruled out: holding large bodies in memory. Change: a large body is sent only once the guard has asked for it, and an attempt that was refused before that may go elsewhere or follow the guard. Before: TestFirstLargeUploadToAGuardRuns fails with reason life at all three entries. After: it passes.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -29,6 +29,7 @@
 		return append(out, effect.Cancel{ID: e.ID, Ticket: e.Ticket})
 	}
 	c.end(e.Ticket)
+	c.spent = c.once && !e.Unread
 	if known {
 		p.outstanding = max(0, p.outstanding-1)
 	}
@@ -82,7 +83,7 @@
 	if c.attempts >= mostAttempts || !now.Before(c.deadline) {
 		return false
 	}
-	if c.once || c.isKeyed() || !n.hasUntried(now, c) {
+	if c.spent || c.isKeyed() || !n.hasUntried(now, c) {
 		return false
 	}
 	return n.retries.Spend()
@@ -103,7 +104,7 @@
 	if len(c.active) > 0 {
 		return out
 	}
-	if effect.Reason(e.Reason) == effect.ReasonLife && c.lives < mostLives && !c.once {
+	if effect.Reason(e.Reason) == effect.ReasonLife && c.lives < mostLives && !c.spent {
 		return n.follow(c, e, out)
 	}
 	reason := effect.Reason(e.Reason)
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -17,12 +17,14 @@
 
 // call is a request that is not yet settled.
 type call struct {
-	id       uint64
-	route    rules.Route
-	class    int
-	key      string
-	first    bool
+	id    uint64
+	route rules.Route
+	class int
+	key   string
+	first bool
+	// once tells that the body can be sent only once, and spent that it was.
 	once     bool
+	spent    bool
 	depth    depth.Call
 	deadline time.Time
 	// last is the ticket of the last attempt, or of the attempt that is asked after.
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -68,7 +68,9 @@
 	// Status is the HTTP status of the backend server's answer.
 	Status int
 	// Spent is the time from sending the attempt to the head of the answer.
-	Spent  time.Duration
+	Spent time.Duration
+	// Unread tells that nothing was read of a body that can be sent only once.
+	Unread bool
 	Random uint64
 }
 
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -86,7 +86,7 @@
 		return nil
 	}
 	if v.request.ContentLength > keptBody {
-		v.stream, e.Once = v.request.Body, true
+		v.stream, e.Once = &untouched{reader: v.request.Body, read: &v.read}, true
 		return nil
 	}
 	c := http.NewResponseController(v.writer)
@@ -101,7 +101,7 @@
 		return &BodyError{Cause: err}
 	}
 	if len(b) > keptBody {
-		v.stream, e.Once = io.MultiReader(bytes.NewReader(b), v.request.Body), true
+		v.stream, e.Once = &untouched{reader: io.MultiReader(bytes.NewReader(b), v.request.Body), read: &v.read}, true
 		return nil
 	}
 	v.held = b
@@ -124,6 +124,18 @@
 // errTooLarge is the cause of a BodyError for a body of unknown length that is too large.
 var errTooLarge = errors.New("larger than its rule allows")
 
+// untouched notes when its reader is read for the first time.
+type untouched struct {
+	reader io.Reader
+	read   *atomic.Bool
+}
+
+// Read reads from the body.
+func (u *untouched) Read(b []byte) (int, error) {
+	u.read.Store(true)
+	return u.reader.Read(b)
+}
+
 // limited fails when more than left bytes are read.
 type limited struct {
 	reader io.Reader
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -25,6 +25,8 @@
 	box     <-chan effect.Effect
 	held    []byte
 	stream  io.Reader
+	// read tells that something was read of stream.
+	read atomic.Bool
 	// over tells that a body of unknown length was larger than its rule allows.
 	over    atomic.Bool
 	outcome effect.Outcome
@@ -184,6 +186,7 @@
 		Load:    answer.Load,
 		Status:  answer.Status,
 		Spent:   time.Since(began),
+		Unread:  !v.read.Load(),
 		Random:  rand.Uint64(),
 	}
 	if err == nil {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -28,6 +28,10 @@
 	dialTime = 500 * time.Millisecond
 	// idleTime is the time after which a connection that is not used is closed.
 	idleTime = 90 * time.Second
+	// askBody is the size in bytes from which a body is sent only once the guard has asked for it.
+	askBody = 64 << 10
+	// askTime is the longest time that a body waits for the guard to ask for it.
+	askTime = time.Second
 	// idlePerNode is the number of unused connections that are kept to each node.
 	idlePerNode = 64
 )
@@ -70,9 +74,10 @@
 			}
 			return c, nil
 		},
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTime,
-		MaxIdleConnsPerHost: idlePerNode,
+		DisableCompression:    true,
+		ExpectContinueTimeout: askTime,
+		IdleConnTimeout:       idleTime,
+		MaxIdleConnsPerHost:   idlePerNode,
 	}}
 }
 
@@ -132,6 +137,9 @@
 		r.Header.Set(xchg.HeaderPrefix+"Key", o.Key)
 	}
 	xchg.SetBody(r, o)
+	if o.Length < 0 || o.Length > askBody {
+		r.Header.Set("Expect", "100-continue")
+	}
 	return r, nil
 }
 
--- a/io/xchg/header.go
+++ b/io/xchg/header.go
@@ -21,9 +21,9 @@
 	HeaderKey      = "Idempotency-Key"
 )
 
-// hopHeaders are the headers that concern one connection only.
+// hopHeaders are the headers that concern one connection or one hop only.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/test/input_test.go
+++ b/test/input_test.go
@@ -195,3 +195,14 @@
 		c.Check(call.Final, qt.IsTrue)
 	}
 }
+
+func TestFirstLargeUploadToAGuardRuns(t *testing.T) {
+	s := newSystem(t, options{})
+	for i := range s.instances {
+		r := claim(fmt.Sprintf("large-%d", i), "")
+		r.body = strings.Repeat("x", 90<<10)
+		a := s.send(i, r)
+		s.c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+		s.c.Check(s.runsOf(r.id), qt.Equals, 1)
+	}
+}
