--- /dev/null
+++ b/core/gossip/told.go
@@ -0,0 +1,125 @@
+package gossip
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/view"
+)
+
+// tell exchanges versions with up to count random peers.
+func (g *Gossip) tell(at time.Time, random uint64, count int, out []effect.Effect) []effect.Effect {
+	total := uint64(len(g.others))
+	if total == 0 {
+		return out
+	}
+	versions := g.Versions(at)
+	stride := 1 + (random>>32)%total
+	for hasCommonFactor(stride, total) {
+		stride++
+	}
+	for i := range min(uint64(count), total) {
+		p := g.others[(random+i*stride)%total]
+		out = append(out, effect.Tell{Peer: p, Versions: versions})
+	}
+	return out
+}
+
+// hasCommonFactor reports whether steps of a visit less than all of b peers.
+func hasCommonFactor(a, b uint64) bool {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a != 1
+}
+
+// Told takes over the versions of a peer.
+func (g *Gossip) Told(e event.Told, out []effect.Effect) (Change, []effect.Effect) {
+	p := g.teller(e)
+	if g.fleet.Wants(e.Versions.Fleet) {
+		out = g.fetchFrom(e.At, event.Fleet, p, e.Versions.Fleet, out)
+	}
+	if g.rules.Wants(e.Versions.Rules) {
+		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
+	}
+	if e.Asked.IsZero() {
+		return Change{}, out
+	}
+	learned := e.Asked.Add(-e.Versions.Age)
+	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime || g.trust.isTooOld(learned) {
+		return Change{Trust: g.trust.fail()}, out
+	}
+	g.rules.Confirm(learned)
+	return Change{Trust: g.trust.confirm()}, out
+}
+
+// teller returns the peer that told its versions. One that is not yet listed is
+// known by the address that it told; the result is nil where it told none.
+func (g *Gossip) teller(e event.Told) *fleet.Instance {
+	p := g.other(e.Peer)
+	if p == nil && e.Control.IsValid() {
+		return &fleet.Instance{Name: e.Peer, Control: e.Control}
+	}
+	return p
+}
+
+// other returns the listed peer of the given name, or nil.
+func (g *Gossip) other(name string) *fleet.Instance {
+	for i := range g.others {
+		if g.others[i].Name == name {
+			p := g.others[i]
+			return &p
+		}
+	}
+	return nil
+}
+
+// Behind reports whether v is newer than the rules of this node.
+func (g *Gossip) Behind(v view.Version) bool { return g.rules.Wants(v) }
+
+// CatchUp asks the peer that holds the version v of the rules for them.
+func (g *Gossip) CatchUp(at time.Time, name string, v view.Version, out []effect.Effect) []effect.Effect {
+	return g.fetchFrom(at, event.Rules, g.other(name), v, out)
+}
+
+// fetchFrom asks a peer for the version v of a document, unless another peer
+// was asked for it, or for a newer one, a moment ago. Where p is nil the platform
+// is read soon.
+func (g *Gossip) fetchFrom(at time.Time, d event.Document, p *fleet.Instance, v view.Version, out []effect.Effect) []effect.Effect {
+	r := &g.reads[d]
+	if p == nil {
+		if soon := at.Add(retryTime); r.next.After(soon) {
+			r.next = soon
+		}
+		return out
+	}
+	if r.wanted.Compare(v) >= 0 && at.Sub(r.asked) < fetchTime {
+		r.other, r.spare = p, v
+		return out
+	}
+	r.wanted, r.asked = v, at
+	return append(out, effect.Fetch{Document: d, Peer: p, After: g.version(d).Revision})
+}
+
+// askOther asks the second peer for what the first one did not give.
+func (g *Gossip) askOther(d event.Document, at time.Time, out []effect.Effect) []effect.Effect {
+	r := &g.reads[d]
+	p, v := r.other, r.spare
+	if p == nil || r.wanted != (view.Version{}) && at.Sub(r.asked) < fetchTime {
+		return out
+	}
+	r.other = nil
+	isWanted := g.rules.Wants(v)
+	if d == event.Fleet {
+		isWanted = g.fleet.Wants(v)
+	}
+	if !isWanted {
+		return out
+	}
+	return g.fetchFrom(at, d, p, v, out)
+}
+
+// Silent takes over that a peer could not be reached.
+func (g *Gossip) Silent() Change { return Change{Trust: g.trust.fail()} }
