--- a/io/demo/rules.go
+++ b/io/demo/rules.go
@@ -19,16 +19,16 @@
 // outCentre is the data centre that the demo takes out and brings back.
 const outCentre = "patan"
 
-// post is an instance of the deployment.
-type post struct {
+// identity is an instance of the deployment.
+type identity struct {
 	name    string
 	centre  string
 	service string
 }
 
-// posts are the instances of the deployment: services of 6, 4 and 3 backend
+// identities are the instances of the deployment: services of 6, 4 and 3 backend
 // servers in three data centres.
-var posts = []post{
+var identities = []identity{
 	{"ledger-patan-1", outCentre, "ledger"},
 	{"ledger-patan-2", outCentre, "ledger"},
 	{"ledger-kirtipur-1", "kirtipur", "ledger"},
@@ -52,10 +52,10 @@
 	warm int
 }
 
-// coldStarts are the cold starts of the backend servers of each service. They end
-// before the rules let a guard admit more than slots requests at once.
+// coldStarts are the cold starts of the backend servers of each service, as the
+// rules tell them.
 var coldStarts = map[string]coldStart{
-	"ledger": {slots: 2, warm: 5},
-	"filing": {slots: 2, warm: 5},
-	"audit":  {slots: 1, warm: 2},
+	"ledger": {slots: 2, warm: 40},
+	"filing": {slots: 2, warm: 40},
+	"audit":  {slots: 1, warm: 10},
 }
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -63,6 +63,9 @@
 // reply answers the caller without an answer of a backend server.
 func (v *visit) reply(e effect.Reply) {
 	v.outcome = e.Outcome
+	if v.over.Load() {
+		e.Reason = effect.ReasonBody
+	}
 	p := problem{Status: statusOf(e), Outcome: e.Outcome.String(), Reason: string(e.Reason), Detail: detailOf(e)}
 	if e.Ticket != nil {
 		p.Ticket = e.Ticket.String()
@@ -77,6 +80,9 @@
 
 // statusOf returns the HTTP status that stands for an outcome and its reason.
 func statusOf(e effect.Reply) int {
+	if e.Outcome == effect.Running {
+		return http.StatusConflict
+	}
 	switch e.Reason {
 	case effect.ReasonRoute:
 		return http.StatusNotFound
@@ -87,12 +93,8 @@
 	case effect.ReasonDeadline:
 		return http.StatusGatewayTimeout
 	}
-	switch e.Outcome {
-	case effect.Running:
-		return http.StatusConflict
-	case effect.Unknown:
+	if e.Outcome == effect.Unknown {
 		return http.StatusBadGateway
-	case effect.Run, effect.NotRun:
 	}
 	return http.StatusServiceUnavailable
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/depth"
@@ -85,7 +86,7 @@
 		return nil
 	}
 	if v.request.ContentLength > keptBody {
-		v.stream, e.Once = v.request.Body, true
+		v.stream, e.Once = &untouched{reader: v.request.Body, read: &v.read}, true
 		return nil
 	}
 	c := http.NewResponseController(v.writer)
@@ -100,7 +101,7 @@
 		return &BodyError{Cause: err}
 	}
 	if len(b) > keptBody {
-		v.stream, e.Once = io.MultiReader(bytes.NewReader(b), v.request.Body), true
+		v.stream, e.Once = &untouched{reader: io.MultiReader(bytes.NewReader(b), v.request.Body), read: &v.read}, true
 		return nil
 	}
 	v.held = b
@@ -117,16 +118,29 @@
 	if v.request.ContentLength >= 0 {
 		return v.stream, v.request.ContentLength
 	}
-	return &limited{reader: v.stream, left: limit}, -1
+	return &limited{reader: v.stream, left: limit, over: &v.over}, -1
 }
 
 // errTooLarge is the cause of a BodyError for a body of unknown length that is too large.
 var errTooLarge = errors.New("larger than its rule allows")
 
+// untouched notes when its reader is read for the first time.
+type untouched struct {
+	reader io.Reader
+	read   *atomic.Bool
+}
+
+// Read reads from the body.
+func (u *untouched) Read(b []byte) (int, error) {
+	u.read.Store(true)
+	return u.reader.Read(b)
+}
+
 // limited fails when more than left bytes are read.
 type limited struct {
 	reader io.Reader
 	left   int64
+	over   *atomic.Bool
 }
 
 // Read reads from the body and fails with a *BodyError past the limit.
@@ -134,6 +148,7 @@
 	n, err := l.reader.Read(b)
 	l.left -= int64(n)
 	if l.left < 0 {
+		l.over.Store(true)
 		return 0, &BodyError{Cause: errTooLarge}
 	}
 	return n, err
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -24,6 +25,10 @@
 	box     <-chan effect.Effect
 	held    []byte
 	stream  io.Reader
+	// read tells that something was read of stream.
+	read atomic.Bool
+	// over tells that a body of unknown length was larger than its rule allows.
+	over    atomic.Bool
 	outcome effect.Outcome
 	// recovered is the kept answer that a guard gave when it was asked.
 	recovered *event.Answer
@@ -181,6 +186,7 @@
 		Load:    answer.Load,
 		Status:  answer.Status,
 		Spent:   time.Since(began),
+		Unread:  !v.read.Load(),
 		Random:  rand.Uint64(),
 	}
 	if err == nil {
--- a/test/repeat_test.go
+++ b/test/repeat_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -24,8 +25,8 @@
 func TestClaimAskedAfterWhileItRunsIsRunning(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
-	p, ticket, guard := s.running(0, "asked", "2s")
+	s.warm()
+	p, ticket, guard := s.running("asked", "2s")
 	b := s.send(3-guard, claim("asked", "").with("Bulrushlock-Ticket", ticket))
 	a := <-p.done
 	c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
@@ -68,7 +69,7 @@
 func TestClaimSentAgainWithItsKeyWhileItRunsIsNeverNotRun(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	keyed := claim("twice", "1s").with("Idempotency-Key", "k-2").with("Bulrushlock-First", "yes")
 	p := s.begin(0, keyed)
 	until(c, "claim runs", func() bool {
@@ -98,7 +99,7 @@
 func TestClaimWithAnUnknownKeyIsUnknownAndStaysSo(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
-	s.warm(0)
+	s.warm()
 	keyed := claim("unsure", "").with("Idempotency-Key", "k-3")
 	a := s.send(0, keyed)
 	c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%+v", a))
@@ -116,3 +117,21 @@
 	b := s.send(1, lookup("seen").with("Bulrushlock-Ticket", a.ticket))
 	s.c.Check(b.outcome, qt.Equals, "run", qt.Commentf("%+v", b))
 }
+
+func TestClaimThatOutlivesItsDeadlineIsAnsweredByItsTicket(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warm()
+	for i := range s.instances {
+		id := fmt.Sprintf("late-%d", i)
+		a := s.send(i, claim(id, "3s"))
+		c.Assert(a.outcome, qt.Not(qt.Equals), "not-run", qt.Commentf("%+v", a))
+		var b reply
+		until(c, "the answer is kept", func() bool {
+			b = s.send(2-i, claim(id, "").with("Bulrushlock-Ticket", a.ticket))
+			return b.outcome == "run"
+		})
+		c.Check(b.body, qt.Contains, id)
+		c.Check(s.runsOf(id), qt.Equals, 1)
+	}
+}
