feat(io/stand): add a bare relay as the baseline for added time

Cause: the time that a node adds has a part that any relay on the machine adds. Change: stand relay passes requests on and does nothing else.

--- a/cmd/stand.go
+++ b/cmd/stand.go
@@ -22,6 +22,7 @@
 func registerStand(a *kingpin.Application, s streams) {
 	c := a.Command("stand", "Run a stand-in for what is outside of the system, for trials and tests.")
 	registerStandServer(c, s)
+	registerStandRelay(c, s)
 	registerStandPlatform(c, s)
 }
 
