fix(core): judge a voided attempt by its key, and a read by the time it was asked

A first sending that another sending of its key had overtaken was voided and called not-run while the other had run (TestKeys). Ruled out: never saying not-run of a key, which would lose every retry; a shorter limit of reads, which only narrows the second. Change: a question about an attempt carries its key, and the guard answers for the attempt of that key that runs or has run; a refusal of a first sending does the same. Reads carry the time at which they were asked, and one from before a pause ends no check.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -123,7 +123,9 @@
 	ID     uint64
 	Ticket ticket.Ticket
 	Peer   fleet.Instance
-	Void   bool
+	// Key is the key under which the attempt was sent, or empty.
+	Key  string
+	Void bool
 	// Wait is the time to wait before asking.
 	Wait time.Duration
 }
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -192,7 +192,7 @@
 		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
 	}
 	c.asks++
-	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Void: !c.recovers, Wait: wait})
+	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Key: c.key, Void: !c.recovers, Wait: wait})
 }
 
 // cancelAll gives up the attempts of c whose exchange has not ended.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -63,7 +63,9 @@
 
 // Read tells that a document was read.
 type Read struct {
-	At       time.Time
+	At time.Time
+	// Asked is the time at which the node asked; zero stands for At.
+	Asked    time.Time
 	Document Document
 	From     Source
 	Text     string
@@ -75,7 +77,9 @@
 
 // Unchanged tells that the source holds no newer document than this node does.
 type Unchanged struct {
-	At       time.Time
+	At time.Time
+	// Asked is the time at which the node asked; zero stands for At.
+	Asked    time.Time
 	Document Document
 	From     Source
 }
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -94,6 +94,9 @@
 	Ticket ticket.Ticket
 	// Query is the number of the question at this guard.
 	Query uint64
+	// Key is the key under which the attempt was sent, or empty. Where another
+	// attempt of the key runs or has run, the answer is about that one.
+	Key string
 	// Void tells that an attempt which has not run must never run.
 	Void bool
 }
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -127,7 +127,7 @@
 		g.applyFleet()
 	}
 	out = append(out, effect.Note{Kind: kind, Text: fmt.Sprintf("revision %d", e.Revision)})
-	confirmation, out := g.confirmed(e.At, e.Document, e.From, out)
+	confirmation, out := g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
 	change.Trust = confirmation.Trust
 	return change, g.tell(e.At, random, pushes, out)
 }
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -66,7 +66,7 @@
 	case view.Taken:
 		return g.taken(e, random, out)
 	case view.Known:
-		return g.confirmed(e.At, e.Document, e.From, out)
+		return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
 	case view.Invalid:
 		g.delay(e, e.Document, e.From, random)
 		return g.passOver(e, out)
@@ -90,7 +90,7 @@
 	if e.Revision != r.passed {
 		return Change{}, out
 	}
-	return g.confirmed(e.At, e.Document, e.From, out)
+	return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
 }
 
 // offer offers a document to its view.
@@ -123,7 +123,7 @@
 // Unchanged takes over that a source holds nothing newer.
 func (g *Gossip) Unchanged(e event.Unchanged, out []effect.Effect) (Change, []effect.Effect) {
 	g.done(e.Document, e.From)
-	return g.confirmed(e.At, e.Document, e.From, out)
+	return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
 }
 
 // confirmed takes over that the platform holds no newer document.
@@ -131,6 +131,9 @@
 	if from.Peer != "" {
 		return Change{}, out
 	}
+	if g.trust.isTooOld(at) {
+		return Change{Trust: g.trust.fail()}, out
+	}
 	if d == event.Fleet {
 		g.fleet.Confirm(at)
 		return Change{}, out
@@ -139,6 +142,14 @@
 	return Change{Trust: g.trust.confirm()}, out
 }
 
+// askedAt returns the time at which a node asked, which is at where it is not told.
+func askedAt(asked, at time.Time) time.Time {
+	if asked.IsZero() {
+		return at
+	}
+	return asked
+}
+
 // Unread takes over that a read has failed.
 func (g *Gossip) Unread(e event.Unread, random uint64) Change {
 	g.done(e.Document, e.From)
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -214,6 +214,9 @@
 	if e.Void {
 		state = g.ledger.Void(e.Ticket, e.At)
 	}
+	if verdictOf(state) == event.NotRun && g.isTaken(e.Key) {
+		answer, state, _ = g.ledger.Find(g.keys.records[e.Key].ticket)
+	}
 	v := effect.Verdict{Query: e.Query, Verdict: verdictOf(state), Answer: answer}
 	if state == ledger.Voided {
 		t := e.Ticket
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -83,3 +83,20 @@
 	d := find[effect.Deny](c, g.Attempt(e, guard.Gate{Owner: true}, nil))
 	c.Assert(d.Outcome, qt.Equals, effect.NotRun)
 }
+
+// A first sending that never arrived must not be called not-run while another
+// sending of its key, which overtook it, runs or has run.
+func TestVoidOfAnOvertakenFirstSending(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	find[effect.Admit](c, g.Attempt(attempt(2, "k"), owned, nil))
+	first := attempt(1, "k")
+	first.First = true
+	asked := event.Asked{At: now, Ticket: first.Ticket, Key: "k", Void: true}
+	out := g.Asked(asked, nil)
+	c.Assert(out[len(out)-1].(effect.Verdict).Verdict, qt.Equals, event.Running)
+	answer := &event.Answer{Status: 200}
+	g.Served(event.Served{At: now, Arrival: 2, Status: 200, Answer: answer}, nil)
+	out = g.Asked(asked, nil)
+	c.Assert(out[len(out)-1].(effect.Verdict), qt.DeepEquals, effect.Verdict{Verdict: event.Ran, Answer: answer})
+}
--- a/core/guard/keys.go
+++ b/core/guard/keys.go
@@ -94,15 +94,22 @@
 // refusal returns the outcome of an attempt that is refused: it has not run, but
 // an earlier sending of its key may have.
 func (g *Guard) refusal(e event.Attempt) effect.Outcome {
-	if e.Idempotent || e.Key == "" || e.First {
+	if e.Idempotent || e.Key == "" {
 		return effect.NotRun
 	}
-	r, ok := g.keys.records[e.Key]
-	if !ok {
-		return effect.Unknown
-	}
-	if _, state, _ := g.ledger.Find(r.ticket); verdictOf(state) != event.NotRun {
+	_, known := g.keys.records[e.Key]
+	if g.isTaken(e.Key) || !known && !e.First {
 		return effect.Unknown
 	}
 	return effect.NotRun
 }
+
+// isTaken reports whether an attempt of key runs here, has run or may have run.
+func (g *Guard) isTaken(key string) bool {
+	r, ok := g.keys.records[key]
+	if !ok {
+		return false
+	}
+	_, state, _ := g.ledger.Find(r.ticket)
+	return verdictOf(state) != event.NotRun
+}
--- a/core/proof/carry_test.go
+++ b/core/proof/carry_test.go
@@ -173,7 +173,7 @@
 		g.verdicts[q] = func(v effect.Verdict) {
 			w.post(&message{from: g, to: p, lose: lose, run: func() { judge(v.Verdict, v.Answer) }})
 		}
-		w.step(g, event.Asked{At: w.now, Ticket: e.Ticket, Query: q, Void: e.Void})
+		w.step(g, event.Asked{At: w.now, Ticket: e.Ticket, Query: q, Key: e.Key, Void: e.Void})
 	}})
 }
 
@@ -337,10 +337,10 @@
 				return
 			}
 			if revision <= e.After {
-				w.step(p, event.Unchanged{At: w.now, Document: e.Document, From: from})
+				w.step(p, event.Unchanged{At: w.now, Asked: asked, Document: e.Document, From: from})
 				return
 			}
-			w.step(p, event.Read{At: w.now, Document: e.Document, From: from, Text: text, Revision: revision})
+			w.step(p, event.Read{At: w.now, Asked: asked, Document: e.Document, From: from, Text: text, Revision: revision})
 		}})
 	}})
 }
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -127,6 +127,7 @@
 	if e.Document == event.Fleet {
 		read = c.options.Platform.Instances
 	}
+	asked := time.Now()
 	d, err := read(ctx, e.After, e.Wait)
 	now := time.Now()
 	var unchanged *plat.UnchangedError
@@ -135,11 +136,11 @@
 		// The process slept, so the answer tells what was true before.
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	case errors.As(err, &unchanged):
-		c.loop.Do(event.Unchanged{At: now, Document: e.Document})
+		c.loop.Do(event.Unchanged{At: now, Asked: asked, Document: e.Document})
 	case err != nil:
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	default:
-		c.loop.Do(event.Read{At: now, Document: e.Document, Text: d.Text, Revision: d.Revision})
+		c.loop.Do(event.Read{At: now, Asked: asked, Document: e.Document, Text: d.Text, Revision: d.Revision})
 	}
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,8 +17,6 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
-	"bulrushlock/core/fleet"
-	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/xchg"
 )
@@ -26,7 +24,7 @@
 // Asker asks a guard what became of an attempt.
 type Asker interface {
 	// Ask returns event.Broken when the guard cannot be reached.
-	Ask(ctx context.Context, peer fleet.Instance, t ticket.Ticket, void bool) (event.Verdict, *event.Answer)
+	Ask(ctx context.Context, e effect.Ask) (event.Verdict, *event.Answer)
 }
 
 // Options are what a Front works with besides its loop.
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -244,7 +244,7 @@
 	if e.Wait > 0 {
 		time.Sleep(e.Wait)
 	}
-	verdict, answer := v.front.options.Asker.Ask(v.request.Context(), e.Peer, e.Ticket, e.Void)
+	verdict, answer := v.front.options.Asker.Ask(v.request.Context(), e)
 	v.recovered = answer
 	v.front.loop.Do(event.Judged{
 		At:      time.Now(),
--- a/io/wire/answer.go
+++ b/io/wire/answer.go
@@ -18,6 +18,8 @@
 // AskQuestion asks what became of an attempt.
 type AskQuestion struct {
 	Ticket ticket.Ticket
+	// Key is the key under which the attempt was sent, or empty.
+	Key string
 	// Void tells that an attempt which has not run must never run.
 	Void  bool
 	Stamp string
@@ -93,7 +95,7 @@
 func (a *answerer) Ask(q AskQuestion, r *AskAnswer) error {
 	w := a.wire
 	w.loop.Merge(q.Stamp)
-	verdict, kept := w.judge(q.Ticket, q.Void)
+	verdict, kept := w.judge(q)
 	r.Verdict = verdict
 	if kept != nil {
 		r.Kept, r.Answer = true, *kept
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -6,7 +6,7 @@
 //
 //	w := wire.New(l, ticket.Node{Instance: "ledger-1", Incarnation: life}, control, dial)
 //	go w.Serve(listener)
-//	verdict, answer := w.Ask(ctx, peer, t, true)
+//	verdict, answer := w.Ask(ctx, effect.Ask{Ticket: t, Peer: peer, Void: true})
 package wire
 
 import (
@@ -19,7 +19,6 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
-	"bulrushlock/core/fleet"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
@@ -98,12 +97,14 @@
 
 // Ask asks the guard of an attempt what became of it. It returns event.Broken
 // where the guard gives no answer.
-func (w *Wire) Ask(ctx context.Context, peer fleet.Instance, t ticket.Ticket, void bool) (event.Verdict, *event.Answer) {
-	if t.Guard.Instance == w.self.Instance {
-		return w.judge(t, void)
+func (w *Wire) Ask(ctx context.Context, e effect.Ask) (event.Verdict, *event.Answer) {
+	q := AskQuestion{Ticket: e.Ticket, Key: e.Key, Void: e.Void}
+	if e.Ticket.Guard.Instance == w.self.Instance {
+		return w.judge(q)
 	}
+	q.Stamp = w.loop.Stamp()
 	var a AskAnswer
-	if err := w.call(ctx, peer.Control, "Ask", AskQuestion{Ticket: t, Void: void, Stamp: w.loop.Stamp()}, &a); err != nil {
+	if err := w.call(ctx, e.Peer.Control, "Ask", q, &a); err != nil {
 		return event.Broken, nil
 	}
 	w.loop.Merge(a.Stamp)
@@ -114,10 +115,10 @@
 }
 
 // judge asks the guard of this node.
-func (w *Wire) judge(t ticket.Ticket, void bool) (event.Verdict, *event.Answer) {
+func (w *Wire) judge(q AskQuestion) (event.Verdict, *event.Answer) {
 	id, box := w.loop.Open()
 	defer w.loop.Close(id)
-	w.loop.Do(event.Asked{At: time.Now(), Ticket: t, Query: id, Void: void})
+	w.loop.Do(event.Asked{At: time.Now(), Ticket: q.Ticket, Query: id, Key: q.Key, Void: q.Void})
 	v, ok := (<-box).(effect.Verdict)
 	if !ok {
 		return event.Unknown, nil
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -70,11 +70,11 @@
 	c.Check(len(events.Records) > 0, qt.IsTrue)
 
 	asked := ticket.Ticket{Entry: one, Sequence: 1, Guard: two, Service: "filing"}
-	verdict, answer := w.Ask(ctx, fleet.Instance{Control: peer}, asked, true)
+	verdict, answer := w.Ask(ctx, effect.Ask{Ticket: asked, Peer: fleet.Instance{Control: peer}, Void: true})
 	c.Check(verdict, qt.Equals, event.NotRun)
 	c.Check(answer, qt.IsNil)
 	asked.Guard.Incarnation++
-	verdict, _ = w.Ask(ctx, fleet.Instance{Control: peer}, asked, true)
+	verdict, _ = w.Ask(ctx, effect.Ask{Ticket: asked, Peer: fleet.Instance{Control: peer}, Void: true})
 	c.Check(verdict, qt.Equals, event.Unknown)
 }
 
@@ -89,6 +89,6 @@
 	var failed *CallError
 	c.Assert(errors.As(err, &failed), qt.IsTrue)
 	c.Check(failed.Peer, qt.Equals, peer)
-	verdict, _ := w.Ask(t.Context(), fleet.Instance{Control: peer}, ticket.Ticket{Sequence: 1}, true)
+	verdict, _ := w.Ask(t.Context(), effect.Ask{Ticket: ticket.Ticket{Sequence: 1}, Peer: fleet.Instance{Control: peer}, Void: true})
 	c.Check(verdict, qt.Equals, event.Broken)
 }
