fix(core): let probes of one guard and reads of the platform not grow with the fleet

Cause: each entry probed a guard that had failed up to five times a second, so 820 entries would send one guard 4,100 probes a second of which it answers five; and nodes that do not watch read the platform at a rate that grew with the fleet. Ruled out: a larger budget of the guard. Change: an entry probes one peer again after as many seconds as nodes share the guard's budget; above 600 nodes the poll takes longer with each node. Checked: TestEntriesTogetherProbeOneGuardWithinItsBudget at 4 and 820 nodes.

--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -26,6 +26,8 @@
 	failed      time.Time
 	failures    int
 	latency     time.Duration
+	// probed is the time of the last probe that this entry chose the peer for.
+	probed time.Time
 }
 
 // candidate returns the peer as a policy sees it.
@@ -83,17 +85,19 @@
 const doubtTime = time.Second
 
 // isDoubtful reports whether the last that the entry saw of the peer was a
-// failure, so that a probe may show that it has recovered.
-func (p *peer) isDoubtful(now time.Time) bool {
-	return p.failures > 0 && now.Sub(p.failed) > doubtTime && now.Sub(p.reported) > doubtTime
+// failure, so that a probe may show that it has recovered. A peer is probed again
+// after the time again.
+func (p *peer) isDoubtful(now time.Time, again time.Duration) bool {
+	return p.failures > 0 && now.Sub(p.probed) > again && now.Sub(p.failed) > doubtTime && now.Sub(p.reported) > doubtTime
 }
 
 // Doubtful returns a peer that may have recovered from a failure.
 func (n *Entry) Doubtful(now time.Time, random uint64) (fleet.Instance, bool) {
 	var found *peer
+	again := n.probeInterval()
 	seen := uint64(0)
 	for _, p := range n.order {
-		if !p.isDoubtful(now) {
+		if !p.isDoubtful(now, again) {
 			continue
 		}
 		seen++
@@ -104,5 +108,17 @@
 	if found == nil {
 		return fleet.Instance{}, false
 	}
+	found.probed = now
 	return found.instance, true
 }
+
+// probeInterval returns the time between two probes of one peer by this entry.
+// It grows with the fleet, so that all entries together send one guard no more
+// probes than it answers.
+func (n *Entry) probeInterval() time.Duration {
+	if n.set == nil || n.set.Budget.Probe == 0 {
+		return doubtTime
+	}
+	share := time.Duration(len(n.order)) * time.Second / time.Duration(n.set.Budget.Probe)
+	return max(doubtTime, share)
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -32,6 +32,8 @@
 	watchTime = 2 * time.Second
 	// pollTime is the mean time between two reads of a node that does not watch.
 	pollTime = 30 * time.Second
+	// pollShare is the part of that time that each node of a large fleet adds.
+	pollShare = 50 * time.Millisecond
 	// retryTime is the mean time after which a failed read is tried again.
 	retryTime = time.Second
 	// watchers is the number of nodes in each data centre that watch the platform.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -41,6 +41,12 @@
 	return append(out, f)
 }
 
+// pollTime returns the mean time between two reads of a node that does not watch.
+// In a large fleet it grows with the number of nodes, so that their reads do not.
+func (g *Gossip) pollTime() time.Duration {
+	return max(pollTime, time.Duration(len(g.others))*pollShare)
+}
+
 // readIfDue asks the platform for a document whose next read is due.
 func (g *Gossip) readIfDue(d event.Document, e event.Tick, out []effect.Effect) []effect.Effect {
 	out = g.askOther(d, e.At, out)
@@ -49,7 +55,7 @@
 		return out
 	}
 	if !g.watches {
-		r.next = e.At.Add(spread(pollTime, e.Random))
+		r.next = e.At.Add(spread(g.pollTime(), e.Random))
 	}
 	return g.fetch(d, out)
 }
