--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -21,6 +21,7 @@
 type explainFlags struct {
 	method string
 	path   string
+	host   string
 	rules  string
 	node   netip.AddrPort
 	format string
@@ -71,6 +72,7 @@
 		"Example: bulrushlock explain GET /lines/7 --rules rules.txt --node 10.10.1.11:8083")
 	c.Arg("method", "The method of the request, such as GET.").Required().StringVar(&f.method)
 	c.Arg("path", "The path of the request, such as /lines/7.").Required().StringVar(&f.path)
+	c.Flag("host", "The host that the request is for, without a port.").StringVar(&f.host)
 	c.Flag("rules", "The file of rules.").PlaceHolder("FILE").StringVar(&f.rules)
 	c.Flag("node", "The operators' listener of a node.").PlaceHolder("IP:PORT").SetValue(addressValue{address: &f.node})
 	formatFlag(c, &f.format)
@@ -140,7 +142,7 @@
 
 // explain finds the rule of a request. It fails with a *noRouteError.
 func explain(f explainFlags, set *rules.Set) (explained, error) {
-	route, ok := set.Route(f.method, f.path)
+	route, ok := set.Route(f.method, f.host, f.path)
 	if !ok {
 		return explained{}, &failedError{cause: &noRouteError{method: f.method, path: f.path}}
 	}
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -11,12 +11,13 @@
 
 	"bulrushlock/io/conf"
 	"bulrushlock/io/daemon"
+	"bulrushlock/platform"
 )
 
 // registerNode adds the command that runs a node.
 func registerNode(a *kingpin.Application, s streams) {
 	c := a.Command("node", "Run the node beside a backend server until SIGTERM or SIGINT makes it leave.")
-	settings := c.Flag("settings", "The settings of the node, in YAML.").Required().String()
+	settings := c.Flag("settings", "The settings of the node, in YAML.").Required().Envar(platform.SettingsVariable).String()
 	c.Action(func(*kingpin.ParseContext) error {
 		return runNode(*settings, s)
 	})
@@ -28,8 +29,12 @@
 	if err != nil {
 		return err
 	}
-	logger := slog.New(slog.NewJSONHandler(s.err, nil))
-	d, err := daemon.New(settings, logger)
+	logger := slog.New(slog.NewJSONHandler(s.out, nil))
+	var options []daemon.Option
+	if settings.Dialect == conf.Platform {
+		options = append(options, daemon.WithAdapter(platform.New(settings, logger)))
+	}
+	d, err := daemon.New(settings, logger, options...)
 	if err != nil {
 		return &failedError{cause: err}
 	}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -65,8 +65,10 @@
 	ReasonDepth    Reason = "depth"    // the calls are nested too deep
 	ReasonDeadline Reason = "deadline" // the time left is too short or has run out
 	ReasonServers  Reason = "servers"  // no backend server of the service can be tried
-	ReasonBusy     Reason = "busy"     // the backend server bears no more
+	ReasonBusy     Reason = "busy"     // the guard lets no more work through
+	ReasonShed     Reason = "shed"     // the backend server itself refused the request
 	ReasonLeaving  Reason = "leaving"  // the instance is leaving
+	ReasonUnlisted Reason = "unlisted" // the list of instances does not name the instance
 	ReasonOut      Reason = "out"      // the data centre or the instance is out of service
 	ReasonAddress  Reason = "address"  // the attempt is addressed to another instance or service
 	ReasonLife     Reason = "life"     // the attempt is addressed to another life of the node
@@ -80,6 +82,18 @@
 	ReasonGone     Reason = "gone"     // the sender went away
 )
 
+// Survey asks for the loads of a few guards, and for a Surveyed event at once.
+type Survey struct {
+	ID    uint64
+	Peers []fleet.Instance
+}
+
+// Cast asks to tell many peers the versions that this node holds. No answer is wanted.
+type Cast struct {
+	Peers    []fleet.Instance
+	Versions event.Versions
+}
+
 // Forward asks to send an attempt of a request to a guard.
 type Forward struct {
 	ID       uint64
@@ -95,6 +109,10 @@
 	Local bool
 	// Hedge is the time after which a Slow event is wanted; zero wants none.
 	Hedge time.Duration
+	// Aim is the time in which the answer is still of full use; 0 where none is named.
+	Aim time.Duration
+	// Inner tells that a running request waits for this one.
+	Inner bool
 }
 
 // Relay asks to give the answer of an attempt to the caller.
@@ -110,6 +128,8 @@
 	Reason  Reason
 	// Ticket names the last attempt, or is nil where none was made.
 	Ticket *ticket.Ticket
+	// Retry is the time after which the caller may try again; 0 where none is known.
+	Retry time.Duration
 }
 
 // Cancel asks to give up an attempt whose answer is no longer wanted.
@@ -143,6 +163,11 @@
 	Ticket  ticket.Ticket
 	// Shed tells that an answer 503 of the backend server is a refusal before it ran.
 	Shed bool
+	// Life names the only life of the backend server that may run the attempt; it
+	// is empty where none is known.
+	Life string
+	// Left is the time that the caller still waits, from now on.
+	Left time.Duration
 }
 
 // Deny asks to refuse an attempt.
@@ -179,7 +204,10 @@
 }
 
 // Look asks to look at the backend server beside this node.
-type Look struct{}
+type Look struct {
+	// Path is the path of its health endpoint; it is empty where the adapter knows it.
+	Path string
+}
 
 // Probe asks for the load of a peer.
 type Probe struct {
@@ -194,6 +222,8 @@
 	After uint64
 	// Wait is the longest time that the platform may hold the call; zero asks for an answer at once.
 	Wait time.Duration
+	// Late allows an answer that is some seconds old, which costs the platform less.
+	Late bool
 }
 
 // Tell asks to exchange versions with a peer.
--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -29,6 +29,9 @@
 		return append(out, effect.Cancel{ID: e.ID, Ticket: e.Ticket})
 	}
 	c.end(e.Ticket)
+	if hasReached(e) {
+		c.sent++
+	}
 	c.spent = c.once && !e.Unread
 	if known {
 		p.outstanding = max(0, p.outstanding-1)
@@ -78,20 +81,33 @@
 	return n.mayRetry(c, now)
 }
 
-// mayRetry reports whether c may be sent once more, and takes that out of the budget.
+// mayRetry reports whether c may be sent once more, and takes that out of the
+// budget where an attempt has reached a backend server: what a guard refuses costs
+// no backend server anything.
 func (n *Entry) mayRetry(c *call, now time.Time) bool {
-	if c.attempts >= mostAttempts || !now.Before(c.deadline) {
+	if c.attempts >= mostAttempts || c.sent >= c.route.Tries || !now.Before(c.deadline) {
 		return false
 	}
 	if c.spent || c.isKeyed() || !n.hasUntried(now, c) {
 		return false
 	}
-	return n.retries.Spend()
+	return c.sent == 0 || n.retries.Spend()
+}
+
+// hasReached reports whether an attempt that ended so may have reached a backend server.
+func hasReached(e event.Answered) bool {
+	switch e.Verdict {
+	case event.Unsent:
+		return false
+	case event.NotRun:
+		return effect.Reason(e.Reason) == effect.ReasonShed
+	}
+	return true
 }
 
 // hasUntried reports whether there is a backend server that c can still be sent to.
 func (n *Entry) hasUntried(now time.Time, c *call) bool {
-	for _, p := range n.services[c.route.Service] {
+	for _, p := range n.services[c.service] {
 		if !c.hasTried(p.instance.Name) && !p.isLeaving(now) {
 			return true
 		}
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -9,6 +9,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/owner"
 	"bulrushlock/core/rules"
+	"bulrushlock/core/share"
 	"bulrushlock/core/ticket"
 )
 
@@ -17,11 +18,18 @@
 
 // call is a request that is not yet settled.
 type call struct {
-	id    uint64
+	id   uint64
+	name string
+	// began is the time at which the request came in.
+	began time.Time
 	route rules.Route
-	class int
-	key   string
-	first bool
+	// service is the service of the route that runs the request.
+	service string
+	// asking tells that guards are being asked for their loads.
+	asking bool
+	class  int
+	key    string
+	first  bool
 	// once tells that the body can be sent only once, and spent that it was.
 	once     bool
 	spent    bool
@@ -40,8 +48,10 @@
 	active   []ticket.Ticket
 	tried    []string
 	attempts int
-	lives    int
-	asks     int
+	// sent is the number of attempts that may have reached a backend server.
+	sent  int
+	lives int
+	asks  int
 }
 
 // isKeyed reports whether c must go to the owner of its key.
@@ -85,16 +95,17 @@
 
 // Request starts to follow a caller's request.
 func (n *Entry) Request(e event.Request, out []effect.Effect) []effect.Effect {
-	c := &call{id: e.ID, key: e.Key, first: e.First, once: e.Once, last: e.Ticket, recovers: e.Ticket != nil}
+	c := &call{id: e.ID, name: e.Name, began: e.At, key: e.Key, first: e.First, once: e.Once, last: e.Ticket, recovers: e.Ticket != nil}
 	if n.set == nil {
 		return n.reply(c, effect.NotRun, effect.ReasonRules, out)
 	}
-	r, ok := n.set.Route(e.Method, e.Path)
+	r, ok := n.set.Route(e.Method, e.Host, e.Path)
 	if !ok {
 		return n.reply(c, effect.NotRun, effect.ReasonRoute, out)
 	}
 	c.route = r
-	c.class = n.classes[route{method: r.Method, path: r.Path}]
+	c.class = n.classes[route{host: r.Host, method: r.Method, path: r.Path}]
+	c.service = n.serviceOf(c, e.Random)
 	if e.Size > r.Body {
 		return n.reply(c, effect.NotRun, effect.ReasonBody, out)
 	}
@@ -111,9 +122,32 @@
 	}
 	n.retries.Deposit()
 	n.hedges.Deposit()
+	if asked := n.survey(e.At, e.Random, c); len(asked) > 0 {
+		c.asking = true
+		return append(out, effect.Survey{ID: c.id, Peers: asked})
+	}
 	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
 }
 
+// serviceOf returns the service that runs c: the one of its route, or the part
+// whose turn it is.
+func (n *Entry) serviceOf(c *call, random uint64) string {
+	parts := c.route.Split
+	if len(parts) == 0 {
+		return c.route.Service
+	}
+	s, ok := n.shares[c.class]
+	if !ok {
+		weights := make([]int, len(parts))
+		for i, p := range parts {
+			weights[i] = p.Weight
+		}
+		s = share.New(weights, random)
+		n.shares[c.class] = s
+	}
+	return parts[s.Next()].Service
+}
+
 // reasonOfLimits returns the reason for which a call with broken limits is refused.
 func reasonOfLimits(err error) effect.Reason {
 	var nested *depth.NestError
@@ -128,12 +162,12 @@
 	if c.attempts > c.lives {
 		return nil
 	}
-	peers := n.services[c.route.Service]
+	peers := n.services[c.service]
 	names := make([]string, len(peers))
 	for i, p := range peers {
 		names[i] = p.instance.Name
 	}
-	name, ok := owner.Of(c.key, c.route.Service, names)
+	name, ok := owner.Of(c.key, c.service, names)
 	if !ok {
 		return nil
 	}
@@ -158,13 +192,14 @@
 		Sequence: n.sequence,
 		Nonce:    random,
 		Guard:    ticket.Node{Instance: p.instance.Name, Incarnation: p.incarnation},
-		Service:  c.route.Service,
+		Service:  c.service,
 	}
 	c.last = &t
 	c.attempts++
 	c.active = append(c.active, t)
 	c.tried = append(c.tried, p.instance.Name)
 	p.outstanding++
+	p.sent++
 	if !c.route.Idempotent || t.Sequence%sampleEvery == 0 {
 		out = append(out, effect.Note{Kind: effect.KindAttempt, Ticket: &t})
 	}
@@ -182,6 +217,8 @@
 		Versions: n.versions,
 		Local:    p.instance.Name == n.identity.Node.Instance,
 		Hedge:    n.hedgeDelay(c),
+		Aim:      c.aimLeft(now),
+		Inner:    c.isInner(),
 	})
 }
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -18,6 +18,7 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/pick"
 	"bulrushlock/core/rules"
+	"bulrushlock/core/share"
 	"bulrushlock/core/ticket"
 )
 
@@ -34,12 +35,17 @@
 type Identity struct {
 	Node   ticket.Node
 	Centre string
+	// Ask is the number of guards that are asked for their load before a request is
+	// sent; at 0 the loads that ride on answers have to do.
+	Ask int
 }
 
 // Entry follows the requests of its callers.
 type Entry struct {
 	identity Identity
 	policy   pick.Policy
+	// asked chooses among the guards that have just told their load.
+	asked    pick.Policy
 	set      *rules.Set
 	peers    map[string]*peer
 	order    []*peer
@@ -53,10 +59,13 @@
 	versions event.Versions
 	scratch  []pick.Candidate
 	eligible []*peer
+	// shares spread the requests of routes that have several services.
+	shares map[int]*share.Share
 }
 
 // route is the part of a rule that names a class of requests.
 type route struct {
+	host   string
 	method string
 	path   string
 }
@@ -66,6 +75,7 @@
 	return &Entry{
 		identity: i,
 		policy:   p,
+		asked:    pick.NewFresh(),
 		peers:    make(map[string]*peer),
 		services: make(map[string][]*peer),
 		classes:  make(map[route]int),
@@ -73,6 +83,7 @@
 		retries:  budget.New(0, budgetReserve),
 		hedges:   budget.New(0, 1),
 		delays:   make(map[int]*delay),
+		shares:   make(map[int]*share.Share),
 	}
 }
 
@@ -95,8 +106,9 @@
 	clear(n.classes)
 	clear(n.delays)
 	for i, r := range s.Routes {
-		n.classes[route{method: r.Method, path: r.Path}] = i
+		n.classes[route{host: r.Host, method: r.Method, path: r.Path}] = i
 	}
+	clear(n.shares)
 	n.retries.SetShare(s.Budget.Retry)
 	n.hedges.SetShare(s.Budget.Hedge)
 }
@@ -143,8 +155,7 @@
 func (n *Entry) Loaded(e event.Loaded) {
 	n.Learn(e.Guard)
 	if p, ok := n.peers[e.Guard.Instance]; ok {
-		p.load = e.Load
-		p.reported = e.At
+		p.report(e.Load, e.At)
 	}
 }
 
@@ -155,13 +166,16 @@
 	}
 	n.eligible = n.eligible[:0]
 	n.scratch = n.scratch[:0]
-	for _, p := range n.services[c.route.Service] {
+	for _, p := range n.services[c.service] {
 		if c.hasTried(p.instance.Name) || p.isLeaving(now) {
 			continue
 		}
 		n.eligible = append(n.eligible, p)
 		n.scratch = append(n.scratch, p.candidate(n.identity.Node, n.identity.Centre))
 	}
+	if i, ok := n.asked.Pick(now, random, n.scratch); ok && n.identity.Ask > 0 {
+		return n.eligible[i]
+	}
 	i, ok := n.policy.Pick(now, random, n.scratch)
 	if !ok {
 		return nil
@@ -180,5 +194,5 @@
 	if o == effect.Unknown {
 		out = append(out, effect.Note{Kind: effect.KindUnknown, Text: string(r), Ticket: t})
 	}
-	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t})
+	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(c, r)})
 }
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -23,9 +23,11 @@
 	load        report.Load
 	reported    time.Time
 	outstanding int
-	failed      time.Time
-	failures    int
-	latency     time.Duration
+	// sent is the number of attempts that were sent since the load was reported.
+	sent     int
+	failed   time.Time
+	failures int
+	latency  time.Duration
 	// probed is the time of the last probe that this entry chose the peer for.
 	probed time.Time
 }
@@ -43,6 +45,9 @@
 		Reported:    p.reported,
 		Failed:      p.failed,
 		Failures:    p.failures,
+		Slow:        p.load.Slow,
+		Ill:         p.load.Ill,
+		Sent:        p.sent,
 		Latency:     p.latency,
 	}
 }
@@ -55,8 +60,7 @@
 // observe takes over what an ended attempt shows of the peer.
 func (p *peer) observe(e event.Answered) {
 	if e.Load != nil {
-		p.load = *e.Load
-		p.reported = e.At
+		p.report(*e.Load, e.At)
 	}
 	if e.Guard.Instance == p.instance.Name && e.Guard.Incarnation != 0 {
 		p.incarnation = e.Guard.Incarnation
@@ -72,6 +76,13 @@
 	}
 }
 
+// report takes over a load that the guard has told.
+func (p *peer) report(l report.Load, at time.Time) {
+	p.load = l
+	p.reported = at
+	p.sent = 0
+}
+
 // average moves the latency of the peer towards spent.
 func (p *peer) average(spent time.Duration) {
 	if p.latency == 0 {
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -12,9 +12,13 @@
 type Request struct {
 	At time.Time
 	// ID is the number of the request at this entry.
-	ID     uint64
+	ID uint64
+	// Name is the name that the caller gave the request, or empty.
+	Name   string
 	Method string
-	Path   string
+	// Host is the host that the request is for, without a port.
+	Host string
+	Path string
 	// Size is the length of the body in bytes, or -1 where it is not known.
 	Size int64
 	// Once tells that the body cannot be sent a second time.
@@ -101,6 +105,17 @@
 // Time returns the time of the event.
 func (e Slow) Time() time.Time { return e.At }
 
+// Surveyed tells the loads that the guards which were asked for a request have told in time.
+type Surveyed struct {
+	At     time.Time
+	ID     uint64
+	Loads  []Loaded
+	Random uint64
+}
+
+// Time returns the time of the event.
+func (e Surveyed) Time() time.Time { return e.At }
+
 // Gone tells that a request has ended at the entry: it was answered or its caller left.
 type Gone struct {
 	At time.Time
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -70,6 +70,8 @@
 	From     Source
 	Text     string
 	Revision uint64
+	// Late tells that the document may be some seconds old.
+	Late bool
 }
 
 // Time returns the time of the event.
@@ -82,6 +84,8 @@
 	Asked    time.Time
 	Document Document
 	From     Source
+	// Revision is a revision at which this was so, or 0 where it is not told.
+	Revision uint64
 }
 
 // Time returns the time of the event.
@@ -101,8 +105,10 @@
 type Versions struct {
 	Rules view.Version
 	Fleet view.Version
-	// Age is the time since the older of the two was known to be the newest.
+	// Age is the time since the rules were known to be the newest.
 	Age time.Duration
+	// FleetAge is the time since the list of instances was known to be the newest.
+	FleetAge time.Duration
 }
 
 // Told tells the versions that a peer holds.
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -19,6 +19,12 @@
 	Class int
 	// Left is the time that the caller still waits.
 	Left time.Duration
+	// Aim is the time in which the answer is still of full use; 0 where none is named.
+	Aim time.Duration
+	// Inner tells that a running request waits for this one.
+	Inner bool
+	// Name is the name that the caller gave the request, or empty.
+	Name string
 	// Key is the Idempotency-Key that this guard has to own, or empty.
 	Key string
 	// First is the caller's word that it has not sent the key before.
@@ -59,8 +65,12 @@
 	Refused
 	// Shed means that the backend server refused the request before it ran.
 	Shed
+	// Declined means that the backend server said of the request that it did not run it.
+	Declined
 	// Reset means that the connection broke after bytes were written.
 	Reset
+	// Moved means that another life of the backend server was at the address, so that nothing ran.
+	Moved
 	// Cancelled means that the sender went away while the backend server was at work.
 	Cancelled
 )
@@ -76,6 +86,8 @@
 	Spent time.Duration
 	// Answer is the whole answer where it is small enough to be kept, or nil.
 	Answer *Answer
+	// Sight is the load that the answer told, or nil.
+	Sight *Sight
 }
 
 // Time returns the time of the event.
@@ -113,12 +125,32 @@
 	Cold
 	Draining
 	Unreachable
+	// Failing is a backend server that calls itself unfit or leaving, without saying which.
+	Failing
 )
 
+// Sight is the load that a backend server tells of itself.
+type Sight struct {
+	// Busy is the number of requests that run.
+	Busy int
+	// Queued is the number of requests that wait in the backend server.
+	Queued int
+	// Slots is the number of requests that can run at once.
+	Slots int
+	// Slow is the time that work takes now, in percent of the usual, or 0 where it is not told.
+	Slow int
+}
+
 // Looked tells what a look at the backend server beside this node has shown.
 type Looked struct {
 	At        time.Time
 	Condition Condition
+	// Life names the life of the backend server that answered, or is empty.
+	Life string
+	// ColdLeft is the time for which the backend server stays cold, where it tells that.
+	ColdLeft time.Duration
+	// Sight is the load that the look has shown, or nil.
+	Sight *Sight
 }
 
 // Time returns the time of the event.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -26,6 +26,9 @@
 	stateLeaving = "leaving"
 )
 
+// maxLife is the length in bytes of the longest name of a life.
+const maxLife = 200
+
 // name is the form of the names of instances, data centres and services.
 var name = regexp.MustCompile(`^[a-z0-9-]{1,32}$`)
 
@@ -41,6 +44,12 @@
 	Nodes netip.AddrPort
 	// Control is the listener for net/rpc calls between nodes.
 	Control netip.AddrPort
+	// Life names the present life of the backend server; it is empty where the
+	// platform tells none.
+	Life string
+	// Slots is the number of requests that the backend server runs at once, or 0
+	// where the platform does not tell it.
+	Slots int
 	// Leaving tells that the instance takes no new work.
 	Leaving bool
 }
@@ -77,6 +86,8 @@
 	Service string         `json:"service"`
 	Nodes   netip.AddrPort `json:"nodes"`
 	Control netip.AddrPort `json:"control"`
+	Life    string         `json:"life,omitempty"`
+	Slots   int            `json:"slots,omitempty"`
 	State   string         `json:"state"`
 }
 
@@ -157,6 +168,12 @@
 			return fmt.Sprintf("%s %q is not an IP number and port of one instance", f.key, f.value)
 		}
 	}
+	if len(e.Life) > maxLife {
+		return fmt.Sprintf("life is longer than %d bytes", maxLife)
+	}
+	if e.Slots < 0 {
+		return fmt.Sprintf("slots %d is below 0", e.Slots)
+	}
 	if e.State != stateLive && e.State != stateLeaving {
 		return fmt.Sprintf("state %q is neither %q nor %q", e.State, stateLive, stateLeaving)
 	}
@@ -176,6 +193,8 @@
 		Service: e.Service,
 		Nodes:   e.Nodes,
 		Control: e.Control,
+		Life:    e.Life,
+		Slots:   e.Slots,
 		Leaving: e.State == stateLeaving,
 	}
 }
@@ -188,6 +207,8 @@
 		Service: in.Service,
 		Nodes:   in.Nodes,
 		Control: in.Control,
+		Life:    in.Life,
+		Slots:   in.Slots,
 		State:   stateLive,
 	}
 	if in.Leaving {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -17,10 +17,11 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
-	"bulrushlock/core/owner"
 	"bulrushlock/core/rules"
 	"bulrushlock/core/view"
 )
@@ -28,22 +29,29 @@
 const (
 	// roundTime is the time between two exchanges of versions with a random peer.
 	roundTime = time.Second
-	// watchTime is the time that a watcher lets the platform hold a call.
-	watchTime = 2 * time.Second
-	// pollTime is the mean time between two reads of a node that does not watch.
-	pollTime = 30 * time.Second
-	// pollShare is the part of that time that each node of a large fleet adds.
-	pollShare = 50 * time.Millisecond
-	// retryTime is the mean time after which a failed read is tried again.
+	// watchTime is the time that a reader lets the platform hold a call. A change
+	// that is missed by a reader that has just gone waits that much longer.
+	watchTime = 600 * time.Millisecond
+	// readTime is the age of a document from which it is read again.
+	readTime = 600 * time.Millisecond
+	// turnTime is the further age from which each next node reads a document that
+	// the ones before it should have read. It covers the call and the word to all.
+	turnTime = 200 * time.Millisecond
+	// retryTime is the least mean time after which a failed read is tried again.
 	retryTime = time.Second
-	// watchers is the number of nodes in each data centre that watch the platform.
-	watchers = 3
+	// castTime is the least time between two messages to all while nothing changes.
+	castTime = 300 * time.Millisecond
 	// pushes is the number of peers that are told of a new version at once.
 	pushes = 4
 	// checks is the number of peers that are asked whether a view is still the newest.
 	checks = 3
 	// fetchTime is the time for which a version is not asked of a second peer.
 	fetchTime = 500 * time.Millisecond
+	// lapseAge is the age of the list of instances from which the platform may have
+	// been away, so that entries of live instances have run out.
+	lapseAge = 3 * time.Second
+	// returnTime is the time within which such entries are back.
+	returnTime = 2 * time.Second
 	// documents is the number of published documents.
 	documents = 2
 )
@@ -63,10 +71,16 @@
 	rules    *view.View[*rules.Set]
 	fleet    *view.View[[]fleet.Instance]
 	reads    [documents]reading
-	watches  bool
-	round    time.Time
-	trust    trust
-	others   []fleet.Instance
+	// rank is the place of this node among those that may read the platform.
+	rank   int
+	began  time.Time
+	round  time.Time
+	cast   time.Time
+	trust  trust
+	others []fleet.Instance
+	// instances is the list with the entries that may have lapsed, which stay until lapsed.
+	instances []fleet.Instance
+	lapsed    time.Time
 }
 
 // New returns the empty views of the node of the given instance.
@@ -76,7 +90,6 @@
 		centre:   centre,
 		rules:    view.New(rules.Parse),
 		fleet:    view.New(fleet.Parse),
-		watches:  true,
 	}
 }
 
@@ -84,7 +97,10 @@
 func (g *Gossip) Rules() (s *rules.Set, ok bool) { return g.rules.Value() }
 
 // Fleet returns the list of instances; ok is false while there is none.
-func (g *Gossip) Fleet() (instances []fleet.Instance, ok bool) { return g.fleet.Value() }
+func (g *Gossip) Fleet() (instances []fleet.Instance, ok bool) {
+	_, ok = g.fleet.Value()
+	return g.instances, ok
+}
 
 // Text returns the text and the revision of a document, for a peer that asks.
 func (g *Gossip) Text(d event.Document) (text string, revision uint64) {
@@ -96,20 +112,27 @@
 
 // Versions returns the versions that this node holds.
 func (g *Gossip) Versions(now time.Time) event.Versions {
-	return event.Versions{Rules: g.rules.Version(), Fleet: g.fleet.Version(), Age: g.Age(now)}
+	return event.Versions{Rules: g.rules.Version(), Fleet: g.fleet.Version(), Age: g.Age(now), FleetAge: g.FleetAge(now)}
 }
 
 // Age returns the time since the rules were known to be the newest.
 func (g *Gossip) Age(now time.Time) time.Duration { return g.rules.Age(now) }
 
-// Watches reports whether this node watches the platform.
-func (g *Gossip) Watches() bool { return g.watches }
+// Watches reports whether this node is the one that reads the platform.
+func (g *Gossip) Watches() bool {
+	return g.rank == 0 || g.reads[event.Rules].reader || g.reads[event.Fleet].reader
+}
 
-// Start asks the platform for both documents.
+// Start asks the platform for both documents. Any recent state of them does, as
+// the node compares it with its peers before long.
 func (g *Gossip) Start(at time.Time, out []effect.Effect) []effect.Effect {
 	g.round = at
-	out = g.fetch(event.Rules, out)
-	return g.fetch(event.Fleet, out)
+	g.began = at
+	for d := range event.Document(documents) {
+		g.reads[d].pending = true
+		out = append(out, effect.Fetch{Document: d, Late: true})
+	}
+	return out
 }
 
 // version returns the version of a document that this node holds.
@@ -126,47 +149,80 @@
 	kind := effect.KindRules
 	if change.Fleet {
 		kind = effect.KindFleet
-		g.applyFleet()
 	}
-	out = append(out, effect.Note{Kind: kind, Text: fmt.Sprintf("revision %d", e.Revision)})
-	confirmation, out := g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
+	out = append(out, effect.Note{Kind: kind, Text: fmt.Sprintf("revision %d from %s", e.Revision, sourceName(e.From))})
+	confirmation, out := g.confirmed(e, out)
 	change.Trust = confirmation.Trust
+	if e.From.Peer == "" {
+		return change, g.castAll(e.At, out)
+	}
 	return change, g.tell(e.At, random, pushes, out)
 }
 
-// applyFleet derives the peers and the watchers from the list of instances.
-func (g *Gossip) applyFleet() {
-	instances, _ := g.fleet.Value()
+// sourceName returns the name of a source for the time line.
+func sourceName(s event.Source) string {
+	if s.Peer == "" {
+		return "the platform"
+	}
+	return s.Peer
+}
+
+// applyFleet derives the peers, and the place of this node among the readers, from
+// a list of instances that was read when the one before it had the given age.
+func (g *Gossip) applyFleet(at time.Time, age time.Duration) {
+	listed, _ := g.fleet.Value()
+	before := g.instances
+	g.instances = listed
+	g.lapsed = time.Time{}
+	if age > lapseAge && len(before) > 0 {
+		g.keepLapsed(at, before)
+	}
 	g.others = g.others[:0]
-	var near []string
-	for _, i := range instances {
+	for _, i := range g.instances {
 		if i.Name != g.instance {
 			g.others = append(g.others, i)
 		}
-		if i.Centre == g.centre && !i.Leaving {
-			near = append(near, i.Name)
+	}
+	g.rank = rankOf(g.instance, listed)
+}
+
+// keepLapsed keeps the entries that the list has lost while the platform may have
+// been away.
+func (g *Gossip) keepLapsed(at time.Time, before []fleet.Instance) {
+	names := make(map[string]bool, len(g.instances))
+	for _, i := range g.instances {
+		names[i.Name] = true
+	}
+	merged := slices.Clone(g.instances)
+	for _, i := range before {
+		if !names[i.Name] {
+			merged = append(merged, i)
 		}
 	}
-	watched := g.watches
-	g.watches = watcher(g.instance, near)
-	if g.watches && !watched {
-		g.reads = [documents]reading{{pending: g.reads[0].pending}, {pending: g.reads[1].pending}}
+	if len(merged) > len(g.instances) {
+		g.instances = merged
+		g.lapsed = at.Add(returnTime)
 	}
 }
 
-// watcher reports whether the instance is one of the watchers among near, or is not listed.
-func watcher(instance string, near []string) bool {
-	if !slices.Contains(near, instance) {
-		return true
-	}
-	for range watchers {
-		name, _ := owner.Of("watch", "platform", near)
-		if name == instance {
-			return true
+// rankOf returns the place of an instance among those that may read the platform,
+// in an order that all nodes agree on and that favours no data centre. One that is
+// not listed comes last.
+func rankOf(instance string, listed []fleet.Instance) int {
+	own := xxhash.Sum64String(instance)
+	rank, found := 0, false
+	for _, i := range listed {
+		switch {
+		case i.Name == instance:
+			found = true
+		case !i.Leaving && xxhash.Sum64String(i.Name) < own:
+			rank++
 		}
-		near = slices.DeleteFunc(near, func(other string) bool { return other == name })
 	}
-	return false
+	if !found {
+		return len(listed)
+	}
+	return rank
 }
 
 // Tick starts the reads and exchanges that are due.
@@ -182,6 +238,10 @@
 	if g.trust.expire(e.At) {
 		change.Trust = true
 	}
+	if !g.lapsed.IsZero() && !e.At.Before(g.lapsed) {
+		g.applyFleet(e.At, 0)
+		change.Fleet = true
+	}
 	for d := range event.Document(documents) {
 		out = g.readIfDue(d, e, out)
 	}
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -14,7 +15,14 @@
 // reading is the state of the reads of one document from the platform.
 type reading struct {
 	pending bool
-	next    time.Time
+	// next is the time before which a failed read is not tried again.
+	next time.Time
+	// soon is the time at which a version is read that a peer told of who cannot be
+	// asked for it; it is zero where there is none.
+	soon time.Time
+	// reader tells that this node read the document from the platform and has heard
+	// of nobody who did so since.
+	reader bool
 	// wanted is the version that a peer was asked for at the time asked.
 	wanted view.Version
 	asked  time.Time
@@ -35,31 +43,46 @@
 	}
 	r.pending = true
 	f := effect.Fetch{Document: d, After: g.version(d).Revision}
-	if g.watches && f.After > 0 {
+	if f.After > 0 {
 		f.Wait = watchTime
 	}
 	return append(out, f)
 }
 
-// pollTime returns the mean time between two reads of a node that does not watch.
-// In a large fleet it grows with the number of nodes, so that their reads do not.
-func (g *Gossip) pollTime() time.Duration {
-	return max(pollTime, time.Duration(len(g.others))*pollShare)
-}
-
-// readIfDue asks the platform for a document whose next read is due.
+// readIfDue asks the platform for a document whose next read is due. The first
+// node in the order reads as soon as the document has the age for it, the others
+// only when nobody before them seems to have done so.
 func (g *Gossip) readIfDue(d event.Document, e event.Tick, out []effect.Effect) []effect.Effect {
 	out = g.askOther(d, e.At, out)
 	r := &g.reads[d]
 	if r.pending || e.At.Before(r.next) {
 		return out
 	}
-	if !g.watches {
-		r.next = e.At.Add(spread(g.pollTime(), e.Random))
+	isSoon := !r.soon.IsZero() && !e.At.Before(r.soon)
+	if !isSoon && g.since(d, e.At) < g.turn(d) {
+		return out
 	}
 	return g.fetch(d, out)
 }
 
+// since returns the time since a document was known to be the newest, or since
+// the start of the node where it never was.
+func (g *Gossip) since(d event.Document, now time.Time) time.Duration {
+	age := g.Age(now)
+	if d == event.Fleet {
+		age = g.FleetAge(now)
+	}
+	return min(age, readTime+now.Sub(g.began))
+}
+
+// turn returns the age of a document from which this node reads it.
+func (g *Gossip) turn(d event.Document) time.Duration {
+	if g.reads[d].reader || g.version(d).Revision == 0 {
+		return readTime
+	}
+	return readTime + time.Duration(g.rank)*turnTime
+}
+
 // Read takes over a document that was read.
 func (g *Gossip) Read(e event.Read, random uint64, out []effect.Effect) (Change, []effect.Effect) {
 	g.done(e.Document, e.From)
@@ -72,7 +95,7 @@
 	case view.Taken:
 		return g.taken(e, random, out)
 	case view.Known:
-		return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
+		return g.confirmed(e, out)
 	case view.Invalid:
 		g.delay(e, e.Document, e.From, random)
 		return g.passOver(e, out)
@@ -96,13 +119,18 @@
 	if e.Revision != r.passed {
 		return Change{}, out
 	}
-	return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
+	return g.confirmed(e, out)
 }
 
 // offer offers a document to its view.
 func (g *Gossip) offer(e event.Read) (view.Verdict, error) {
 	if e.Document == event.Fleet {
-		return g.fleet.Offer(e.Text, e.Revision, e.At)
+		age := g.FleetAge(e.At)
+		v, err := g.fleet.Offer(e.Text, e.Revision, e.At)
+		if v == view.Taken {
+			g.applyFleet(e.At, age)
+		}
+		return v, err
 	}
 	return g.rules.Offer(e.Text, e.Revision, e.At)
 }
@@ -129,23 +157,44 @@
 // Unchanged takes over that a source holds nothing newer.
 func (g *Gossip) Unchanged(e event.Unchanged, out []effect.Effect) (Change, []effect.Effect) {
 	g.done(e.Document, e.From)
-	return g.confirmed(askedAt(e.Asked, e.At), e.Document, e.From, out)
+	if e.Document == event.Fleet {
+		g.fleet.Advance(e.Revision)
+	} else {
+		g.rules.Advance(e.Revision)
+	}
+	return g.confirmed(event.Read{At: e.At, Asked: e.Asked, Document: e.Document, From: e.From}, out)
 }
 
-// confirmed takes over that the platform holds no newer document.
-func (g *Gossip) confirmed(at time.Time, d event.Document, from event.Source, out []effect.Effect) (Change, []effect.Effect) {
-	if from.Peer != "" {
+// confirmed takes over that the platform holds no newer document, as e tells.
+func (g *Gossip) confirmed(e event.Read, out []effect.Effect) (Change, []effect.Effect) {
+	if e.From.Peer != "" || e.Late {
 		return Change{}, out
 	}
+	at := askedAt(e.Asked, e.At)
 	if g.trust.isTooOld(at) {
 		return Change{Trust: g.trust.fail()}, out
 	}
-	if d == event.Fleet {
+	g.reads[e.Document].reader = true
+	var change Change
+	if e.Document == event.Fleet {
 		g.fleet.Confirm(at)
-		return Change{}, out
+	} else {
+		g.rules.Confirm(at)
+		change.Trust = g.trust.confirm()
+	}
+	if e.At.Sub(g.cast) < castTime {
+		return change, out
+	}
+	return change, g.castAll(e.At, out)
+}
+
+// castAll tells all peers the versions that this node holds.
+func (g *Gossip) castAll(at time.Time, out []effect.Effect) []effect.Effect {
+	if len(g.others) == 0 {
+		return out
 	}
-	g.rules.Confirm(at)
-	return Change{Trust: g.trust.confirm()}, out
+	g.cast = at
+	return append(out, effect.Cast{Peers: slices.Clone(g.others), Versions: g.Versions(at)})
 }
 
 // askedAt returns the time at which a node asked, which is at where it is not told.
@@ -167,18 +216,21 @@
 func (g *Gossip) done(d event.Document, from event.Source) {
 	if from.Peer == "" {
 		g.reads[d].pending = false
+		g.reads[d].soon = time.Time{}
 		return
 	}
 	g.reads[d].wanted = view.Version{}
 }
 
-// delay lets the next read of a document wait after one that gave nothing to
-// use, as an invalid text is given again at once.
+// delay lets the next read of a document wait after one that gave nothing to use.
+// Where many nodes fail, their tries together grow no faster than with one of them
+// in each turn.
 func (g *Gossip) delay(e event.Event, d event.Document, from event.Source, random uint64) {
 	if from.Peer != "" {
 		return
 	}
-	if next := e.Time().Add(spread(retryTime, random)); g.reads[d].next.Before(next) {
+	mean := max(retryTime, time.Duration(len(g.others))*turnTime)
+	if next := e.Time().Add(spread(mean, random)); g.reads[d].next.Before(next) {
 		g.reads[d].next = next
 	}
 }
--- a/core/gossip/told.go
+++ b/core/gossip/told.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -44,15 +46,46 @@
 	if g.rules.Wants(e.Versions.Rules) {
 		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
 	}
+	ends := g.hear(e)
 	if e.Asked.IsZero() {
-		return Change{}, out
+		return Change{Trust: ends}, out
 	}
 	learned := e.Asked.Add(-e.Versions.Age)
-	if e.Versions.Rules != g.rules.Version() || e.Versions.Age > trustTime || g.trust.isTooOld(learned) {
+	if !g.rules.Holds(e.Versions.Rules) || e.Versions.Age > trustTime || g.trust.isTooOld(learned) {
 		return Change{Trust: g.trust.fail()}, out
 	}
 	g.rules.Confirm(learned)
-	return Change{Trust: g.trust.confirm()}, out
+	return Change{Trust: g.trust.confirm() || ends}, out
+}
+
+// hear takes over what a peer knows to be the newest, and reports whether that ends
+// the doubt in the rules. What it told unasked may have waited while this node slept,
+// so it does not count during a check after a pause, nor shortly after it.
+func (g *Gossip) hear(e event.Told) bool {
+	at := askedAt(e.Asked, e.At)
+	if g.trust.degree == Checking || g.trust.degree == Alone && at.Sub(g.trust.checked) < settleTime {
+		return false
+	}
+	ends := false
+	if g.rules.Holds(e.Versions.Rules) {
+		g.yield(event.Rules, e, e.Versions.Age, g.Age(at))
+		g.rules.Confirm(at.Add(-e.Versions.Age))
+		ends = e.Versions.Age < trustTime && g.trust.confirm()
+	}
+	if g.fleet.Holds(e.Versions.Fleet) {
+		g.yield(event.Fleet, e, e.Versions.FleetAge, g.FleetAge(at))
+		g.fleet.Confirm(at.Add(-e.Versions.FleetAge))
+	}
+	return ends
+}
+
+// yield leaves the reading of a document to the peer of e where it has read later,
+// or at about the same time and comes first in the order.
+func (g *Gossip) yield(d event.Document, e event.Told, age, own time.Duration) {
+	isFirst := age < readTime && xxhash.Sum64String(e.Peer) < xxhash.Sum64String(g.instance)
+	if age < own || isFirst {
+		g.reads[d].reader = false
+	}
 }
 
 // teller returns the peer that told its versions. One that is not yet listed is
@@ -90,8 +123,8 @@
 func (g *Gossip) fetchFrom(at time.Time, d event.Document, p *fleet.Instance, v view.Version, out []effect.Effect) []effect.Effect {
 	r := &g.reads[d]
 	if p == nil {
-		if soon := at.Add(retryTime); r.next.After(soon) {
-			r.next = soon
+		if r.soon.IsZero() {
+			r.soon = at.Add(retryTime)
 		}
 		return out
 	}
--- a/core/gossip/trust.go
+++ b/core/gossip/trust.go
@@ -16,6 +16,9 @@
 	checkTime = 500 * time.Millisecond
 	// recheckTime is the time between two checks of a view that nobody confirms.
 	recheckTime = time.Second
+	// settleTime is the time after a check in which what peers tell unasked may have
+	// waited for this node.
+	settleTime = time.Second
 	// pauseAge is the age up to which a peer's word ends a check after a pause.
 	pauseAge = 3 * time.Second
 )
@@ -107,7 +110,7 @@
 		return false, out
 	}
 	t.since = at
-	changed := t.degree == Fresh && g.Age(at) > trustTime
+	changed := t.degree == Fresh && min(g.Age(at), at.Sub(g.began)) > trustTime
 	if changed {
 		t.degree = Alone
 	}
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -63,7 +63,7 @@
 		return effect.ReasonLeaving
 	case gate.Closed != "":
 		return gate.Closed
-	case g.down:
+	case g.down, g.isAnother():
 		return effect.ReasonServer
 	}
 	return ""
@@ -119,7 +119,7 @@
 	if e.Left <= 0 {
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
-	if len(g.busy) < g.bound() {
+	if g.hasRoom(e) && g.mayStart(e.At) {
 		return g.run(e, out)
 	}
 	if !e.Idempotent {
@@ -142,7 +142,9 @@
 		g.begin(e)
 	}
 	g.busy[e.Arrival] = work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class}
-	return append(out, effect.Admit{Arrival: e.Arrival, Ticket: e.Ticket, Shed: g.limits.Shed})
+	return append(out, effect.Admit{
+		Arrival: e.Arrival, Ticket: e.Ticket, Shed: g.limits.Shed, Life: g.listed.Life, Left: e.Left,
+	})
 }
 
 // begin records that e has been let in, so that it cannot be let in again.
@@ -170,19 +172,30 @@
 
 // grant runs waiting attempts while the bound allows.
 func (g *Guard) grant(at time.Time, out []effect.Effect) []effect.Effect {
-	for len(g.busy) < g.bound() {
-		arrival, ok := g.waiting.Pop()
+	for {
+		arrival, ok := g.waiting.Peek()
 		if !ok {
 			return out
 		}
 		e := g.waiters[arrival]
+		if !g.hasRoom(e) || !g.mayStart(at) {
+			return out
+		}
+		g.waiting.Remove(arrival)
 		delete(g.waiters, arrival)
+		e.Left -= at.Sub(e.At)
 		e.At = at
+		if e.Left <= 0 {
+			out = g.refuse(e, effect.ReasonDeadline, out)
+			continue
+		}
 		out = g.run(e, out)
 	}
-	return out
 }
 
+// Tick lets waiting attempts run that a cold start has held back.
+func (g *Guard) Tick(at time.Time, out []effect.Effect) []effect.Effect { return g.grant(at, out) }
+
 // Withdrawn takes out an attempt whose sender has gone.
 func (g *Guard) Withdrawn(e event.Withdrawn, out []effect.Effect) []effect.Effect {
 	return g.takeOut(e.Arrival, effect.ReasonGone, effect.ReasonGone, out)
@@ -216,6 +229,10 @@
 	}
 	inFlight := len(g.busy)
 	delete(g.busy, e.Arrival)
+	g.see(e.At, e.Sight)
+	if e.Failure == event.None && e.Status < statusServerError {
+		g.served = e.At
+	}
 	g.record(w, e)
 	out = g.learn(w, e, inFlight, out)
 	return g.grant(e.At, out)
@@ -226,7 +243,7 @@
 	if w.idempotent {
 		return
 	}
-	if e.Failure == event.Refused || g.shed(e) {
+	if e.Failure == event.Refused || e.Failure == event.Moved || g.shed(e) {
 		g.ledger.Refuse(w.ticket, e.At)
 		return
 	}
@@ -235,7 +252,7 @@
 
 // shed reports whether the backend server refused the request before it ran.
 func (g *Guard) shed(e event.Served) bool {
-	return e.Failure == event.Shed && g.limits.Shed
+	return e.Failure == event.Declined || e.Failure == event.Shed && g.limits.Shed
 }
 
 // learn adapts the limits to how an exchange has ended.
@@ -248,13 +265,18 @@
 	case event.Reset:
 		out = deny(event.Attempt{Arrival: e.Arrival}, effect.Unknown, effect.ReasonBroken, out)
 		return g.TurnCold("connection reset", out)
+	case event.Moved:
+		return deny(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonServer, out)
 	case event.Cancelled:
 		return out
-	case event.Shed:
+	case event.Shed, event.Declined:
 		g.limit.Observe(e.At, w.class, e.Spent, inFlight, true)
-		return deny(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonBusy, out)
+		return deny(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonShed, out)
 	case event.None:
 	}
+	if g.isPaced() {
+		return out
+	}
 	g.limit.Observe(e.At, w.class, e.Spent, inFlight, e.Status >= statusServerError)
 	if g.limit.Jumped() && !g.ramp.IsCold() {
 		return g.TurnCold("latency jumped", out)
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -14,8 +14,10 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
 	"bulrushlock/core/ledger"
 	"bulrushlock/core/limit"
+	"bulrushlock/core/pace"
 	"bulrushlock/core/queue"
 	"bulrushlock/core/ramp"
 	"bulrushlock/core/report"
@@ -78,6 +80,21 @@
 	down     bool
 	// toldCold tells that the backend server called itself cold when it was last looked at.
 	toldCold bool
+	// pace bounds the starts of a cold backend server whose rate is known.
+	pace *pace.Pace
+	// listed is the entry of this instance in the list of instances.
+	listed fleet.Instance
+	// life is the life of the backend server that was last looked at.
+	life string
+	// sight is the load that the backend server told last, at the time sighted.
+	sight   event.Sight
+	sighted time.Time
+	// foreign is the number of requests that run there and were not admitted here.
+	foreign int
+	// failing tells that the backend server called itself unfit when it was last
+	// looked at, and served is the time of its last good answer.
+	failing bool
+	served  time.Time
 }
 
 // work is an attempt that the backend server runs now.
@@ -99,6 +116,7 @@
 		waiting:  queue.New[uint64](0),
 		waiters:  make(map[uint64]event.Attempt),
 		cold:     true,
+		pace:     pace.New(),
 	}
 }
 
@@ -109,34 +127,110 @@
 		return out
 	}
 	g.limits = limits
-	g.ramp.Resize(limits.Cold, limits.Slots, limits.Warm)
-	g.limit.Resize(limits.Slots)
-	g.waiting.Resize(limits.Slots)
-	if limits.Queue == 0 {
+	g.pace.SetRate(float64(limits.Rate))
+	g.resize()
+	return g.grant(at, out)
+}
+
+// SetListed takes over what the list of instances tells of this one.
+func (g *Guard) SetListed(i fleet.Instance) {
+	g.listed = i
+	g.resize()
+}
+
+// resize takes over the number of slots.
+func (g *Guard) resize() {
+	slots := g.slots()
+	g.ramp.Resize(g.limits.Cold, slots, g.limits.Warm)
+	g.limit.Resize(slots)
+	g.waiting.Resize(slots)
+	if g.limits.Queue == 0 {
 		g.waiting.Resize(0)
 	}
-	return g.grant(at, out)
+}
+
+// slots returns the number of requests that the backend server runs at once.
+func (g *Guard) slots() int {
+	switch {
+	case g.limits.Slots > 0:
+		return g.limits.Slots
+	case g.sight.Slots > 0:
+		return g.sight.Slots
+	}
+	return g.listed.Slots
 }
 
 // Load returns the load report that rides on answers.
-func (g *Guard) Load() report.Load {
+func (g *Guard) Load(now time.Time) report.Load {
 	return report.Load{
-		InFlight: len(g.busy),
+		InFlight: len(g.busy) + g.foreign,
 		Queued:   g.waiting.Len(),
 		Limit:    g.bound(),
-		Cold:     g.ramp.IsCold(),
+		Slow:     g.sight.Slow,
+		Cold:     g.isCold(now),
+		Ill:      g.isIll(now),
 		Leaving:  g.leaving || g.draining,
 	}
 }
 
+// Node returns the life of the node of this guard.
+func (g *Guard) Node() ticket.Node { return g.identity.Node }
+
+// LookPath returns the path of the health endpoint, or an empty text where the
+// rules name none.
+func (g *Guard) LookPath() string { return g.limits.Look }
+
+// isPaced reports whether the rules tell how many requests a second a cold
+// backend server bears.
+func (g *Guard) isPaced() bool { return g.limits.Rate > 0 }
+
+// isCold reports whether the backend server has to be taken for cold.
+func (g *Guard) isCold(now time.Time) bool {
+	if g.isPaced() {
+		return g.pace.IsCold(now)
+	}
+	return g.ramp.IsCold()
+}
+
+// illTime is the time after a good answer for which the backend server's own word
+// that it is unfit is not believed: its health endpoint may mislead.
+const illTime = 2 * time.Second
+
+// isIll reports whether the backend server calls itself unfit and no answer has
+// shown otherwise.
+func (g *Guard) isIll(now time.Time) bool { return g.failing && now.Sub(g.served) > illTime }
+
+// fullShare is the share of its slots up to which a backend server works at its
+// usual speed: near the last of them it turns slow for all that it runs.
+const fullShare = 0.8
+
 // bound returns the number of attempts that may run at once now.
 func (g *Guard) bound() int {
-	if g.limits.Slots == 0 || g.down {
+	switch {
+	case g.limits.Name == "" || g.down:
+		return 0
+	case g.isPaced():
+		return max(int(fullShare*float64(g.slots())), 1)
+	case g.limits.Slots == 0 && g.slots() == 0:
 		return 0
 	}
 	return min(g.limit.Limit(), g.ramp.Bound())
 }
 
+// mayStart reports whether a cold start lets another attempt begin now, and counts
+// it where it does.
+func (g *Guard) mayStart(now time.Time) bool { return !g.isPaced() || g.pace.Take(now) }
+
+// hasRoom reports whether e may run now. A call of a running request may take one
+// of the last slots, since the request that waits for it holds another.
+func (g *Guard) hasRoom(e event.Attempt) bool {
+	bound := g.bound()
+	if e.Inner && g.isPaced() && bound > 0 {
+		bound = max(g.slots(), 1)
+	}
+	return len(g.busy)+g.foreign < bound
+}
+
 // Idle reports whether no attempt runs or waits here.
 func (g *Guard) Idle() bool {
 	return len(g.busy) == 0 && g.waiting.Len() == 0 && len(g.held) == 0
@@ -178,6 +272,7 @@
 // TurnCold makes the guard treat its backend server as one in cold start.
 func (g *Guard) TurnCold(why string, out []effect.Effect) []effect.Effect {
 	g.ramp.Cold()
+	g.pace.Doubt()
 	if g.cold {
 		return out
 	}
@@ -185,26 +280,6 @@
 	return append(out, effect.Note{Kind: effect.KindCold, Text: why})
 }
 
-// Looked takes over what the backend server tells of itself. It can only make
-// the guard more careful: a server that calls itself warm does not end the ramp.
-func (g *Guard) Looked(e event.Looked, out []effect.Effect) []effect.Effect {
-	if e.Condition == event.Unreachable {
-		out = g.TurnCold("no answer to a look", out)
-		return g.grant(e.At, out)
-	}
-	g.down = false
-	g.draining = e.Condition == event.Draining
-	if g.draining {
-		return g.refuseWaiting(effect.ReasonLeaving, out)
-	}
-	isCold := e.Condition == event.Cold
-	if isCold && (!g.toldCold || !g.ramp.IsCold()) {
-		out = g.TurnCold("told by the backend server", out)
-	}
-	g.toldCold = isCold
-	return g.grant(e.At, out)
-}
-
 // Asked answers an entry that asks what became of an attempt.
 func (g *Guard) Asked(e event.Asked, out []effect.Effect) []effect.Effect {
 	if e.Ticket.Guard != g.identity.Node {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -44,6 +44,12 @@
 	// Lag is the longest lag of a view, and the longest flight of an attempt, for
 	// which the owner of a key is certain; zero stands for two minutes.
 	Lag time.Duration
+	// Ask is the number of guards that are asked for their load before a request is
+	// sent; at 0 the loads that ride on answers have to do.
+	Ask int
+	// Listed tells that a backend server which the list of instances does not name
+	// gets no work.
+	Listed bool
 }
 
 // Node is the reducer. It is not safe for use by several goroutines at once.
@@ -63,8 +69,10 @@
 	probed   *bucket.Bucket
 	last     time.Time
 	left     time.Time
-	// listed tells that the list of instances says that this one is leaving.
-	listed bool
+	// leaving tells that the list of instances says that this one is leaving, and
+	// missing that the list does not name it.
+	leaving bool
+	missing bool
 	// members are the instances that may own keys of the service of this node.
 	members  []string
 	out      bool
@@ -83,7 +91,7 @@
 	recent.Service = i.Service
 	return &Node{
 		identity: i,
-		entry:    entry.New(entry.Identity{Node: self, Centre: i.Centre}, p),
+		entry:    entry.New(entry.Identity{Node: self, Centre: i.Centre, Ask: i.Ask}, p),
 		guard:    guard.New(guard.Identity{Node: self, Centre: i.Centre, Service: i.Service}),
 		gossip:   gossip.New(i.Instance, i.Centre),
 		settled:  settled,
@@ -105,7 +113,7 @@
 func (n *Node) Step(e event.Event, out []effect.Effect) []effect.Effect {
 	out = n.wake(e, out)
 	switch e := e.(type) {
-	case event.Request, event.Answered, event.Judged, event.Slow, event.Gone, event.Loaded:
+	case event.Request, event.Answered, event.Judged, event.Slow, event.Gone, event.Loaded, event.Surveyed:
 		out = n.stepEntry(e, out)
 	case event.Attempt, event.Withdrawn, event.Overdue, event.Served, event.Asked, event.Looked, event.Probed:
 		out = n.stepGuard(e, out)
@@ -164,6 +172,9 @@
 		return n.entry.Judged(e, out)
 	case event.Slow:
 		return n.entry.Slow(e, out)
+	case event.Surveyed:
+		n.entry.Loaded(event.Loaded{At: e.At, Guard: n.guard.Node(), Load: n.guard.Load(e.At)})
+		return n.entry.Surveyed(e, out)
 	case event.Gone:
 		return n.entry.Gone(e, out)
 	case event.Loaded:
@@ -189,7 +200,7 @@
 		return n.guard.Looked(e, out)
 	case event.Probed:
 		refused := !n.probed.Take(e.At, 1)
-		return append(out, effect.Load{Query: e.Query, Load: n.guard.Load(), Refused: refused})
+		return append(out, effect.Load{Query: e.Query, Load: n.guard.Load(e.At), Refused: refused})
 	}
 	return out
 }
@@ -227,14 +238,24 @@
 		return effect.ReasonRules
 	case s.IsOut(n.identity.Instance, n.identity.Centre):
 		return effect.ReasonOut
-	case n.listed:
+	case n.leaving:
 		return effect.ReasonLeaving
+	case n.missing && n.identity.Listed:
+		return effect.ReasonUnlisted
 	case n.identity.Refuse && n.gossip.Trust() == gossip.Alone:
 		return effect.ReasonOld
 	}
 	return ""
 }
 
+// Ready reports whether the node can serve callers: it knows the rules and the
+// instances, and does not leave.
+func (n *Node) Ready() bool {
+	_, rules := n.gossip.Rules()
+	_, list := n.gossip.Fleet()
+	return rules && list && !n.guard.Leaving()
+}
+
 // Status is what operators see of a node.
 type Status struct {
 	Identity Identity
@@ -254,7 +275,7 @@
 		Versions: n.gossip.Versions(at),
 		Trust:    n.gossip.Trust(),
 		Watches:  n.gossip.Watches(),
-		Load:     n.guard.Load(),
+		Load:     n.guard.Load(at),
 		Out:      n.out,
 		Closed:   n.closed(),
 		Requests: n.entry.Busy(),
@@ -270,5 +291,5 @@
 // Text returns the text and the revision of a document that the node holds.
 func (n *Node) Text(d event.Document) (text string, revision uint64) { return n.gossip.Text(d) }
 
-// Load returns the load that rides on the answers of the guard.
-func (n *Node) Load() report.Load { return n.guard.Load() }
+// Load returns the load that rides on the answers of the guard, as of the given time.
+func (n *Node) Load(at time.Time) report.Load { return n.guard.Load(at) }
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -98,11 +98,12 @@
 // applyFleet derives from the list what the guard has to know of its own
 // instance and of those that share its service.
 func (n *Node) applyFleet(s *rules.Set, instances []fleet.Instance) {
-	n.listed = false
+	n.leaving, n.missing = false, true
 	n.members = nil
 	for _, i := range instances {
 		if i.Name == n.identity.Instance {
-			n.listed = i.Leaving
+			n.leaving, n.missing = i.Leaving, i.Service != n.identity.Service
+			n.guard.SetListed(i)
 		}
 		if i.Service == n.identity.Service && !i.Leaving && !s.IsOut(i.Name, i.Centre) {
 			n.members = append(n.members, i.Name)
@@ -113,7 +114,7 @@
 // noticeOut refuses waiting work when this node is taken out, and notes the change.
 func (n *Node) noticeOut(out []effect.Effect) []effect.Effect {
 	reason := n.closed()
-	isOut := reason == effect.ReasonOut || reason == effect.ReasonLeaving
+	isOut := reason == effect.ReasonOut || reason == effect.ReasonLeaving || reason == effect.ReasonUnlisted
 	if isOut == n.out {
 		return out
 	}
@@ -130,8 +131,9 @@
 	n.last = e.At
 	change, out := n.gossip.Tick(e, paused, out)
 	out = n.apply(e.At, change, out)
+	out = n.guard.Tick(e.At, out)
 	if n.looks.Take(e.At, 1) {
-		out = append(out, effect.Look{})
+		out = append(out, effect.Look{Path: n.guard.LookPath()})
 	}
 	return n.probe(e, out)
 }
--- /dev/null
+++ b/core/pace/pace.go
@@ -0,0 +1,61 @@
+// Package pace bounds the requests a second that a cold backend server gets.
+//
+// It answers a backend server that comes up, or turns cold again without notice,
+// while its share of a full load waits: the first second must not bring what it
+// bears in several. Until it is known whether it is cold, it is taken for cold.
+//
+// # Usage
+//
+//	p := pace.New()
+//	p.SetRate(11)
+//	p.Cold(now.Add(left))
+//	if p.Take(now) {
+//		send()
+//	}
+package pace
+
+import (
+	"time"
+
+	"bulrushlock/core/bucket"
+)
+
+// burst is the number of requests that may start at the same moment. It stays
+// well below the overage that a cold backend server bears.
+const burst = 2
+
+// Pace bounds the starts of requests. It is not safe for use by several
+// goroutines at once.
+type Pace struct {
+	bucket *bucket.Bucket
+	// until is the end of the cold start; unknown tells that it is not known.
+	until   time.Time
+	unknown bool
+}
+
+// New returns the pace of a backend server that is taken for cold.
+func New() *Pace { return &Pace{bucket: bucket.New(0, burst), unknown: true} }
+
+// SetRate sets the number of requests a second that a cold backend server bears.
+func (p *Pace) SetRate(rate float64) { p.bucket.SetRate(rate, burst) }
+
+// Doubt takes the backend server for cold until Cold or Warm is called.
+func (p *Pace) Doubt() { p.unknown = true }
+
+// Cold tells that the backend server is cold until a time.
+func (p *Pace) Cold(until time.Time) {
+	p.unknown = false
+	p.until = until
+}
+
+// Warm tells that the backend server is warm.
+func (p *Pace) Warm() {
+	p.unknown = false
+	p.until = time.Time{}
+}
+
+// IsCold reports whether the backend server has to be taken for cold.
+func (p *Pace) IsCold(now time.Time) bool { return p.unknown || now.Before(p.until) }
+
+// Take reports whether a request may start now, and counts it where it may.
+func (p *Pace) Take(now time.Time) bool { return !p.IsCold(now) || p.bucket.Take(now, 1) }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -40,6 +40,12 @@
 	Failed time.Time
 	// Failures is the number of refusals and failures since the last good answer.
 	Failures int
+	// Slow is the reported time that work takes, in percent of the usual, or 0.
+	Slow int
+	// Ill is the reported word of the backend server that it is unfit.
+	Ill bool
+	// Sent is the number of requests that the entry has sent since the report.
+	Sent int
 	// Latency is the recent latency of good answers to requests of like cost, or
 	// zero if there is none.
 	Latency time.Duration
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -61,6 +61,14 @@
 	q.items[at] = i
 }
 
+// Peek returns the item that goes first and leaves it in.
+func (q *Queue[T]) Peek() (value T, ok bool) {
+	if len(q.items) == 0 {
+		return value, false
+	}
+	return q.items[0].value, true
+}
+
 // Pop takes the item that goes first.
 func (q *Queue[T]) Pop() (value T, ok bool) {
 	if len(q.items) == 0 {
--- a/core/report/load.go
+++ b/core/report/load.go
@@ -20,12 +20,21 @@
 	Queued int
 	// Limit is the number of requests that the guard admits at once now.
 	Limit int
+	// Slow is the time that work takes now, in percent of the usual; 0 stands for
+	// a backend server that does not tell.
+	Slow int
 	// Cold tells that the backend server is in cold start.
 	Cold bool
+	// Ill tells that the backend server calls itself unfit and that no request has
+	// shown otherwise.
+	Ill bool
 	// Leaving tells that the guard takes no new work.
 	Leaving bool
 }
 
+// slowPrefix begins the part of a report that tells Slow.
+const slowPrefix = "slow="
+
 // ParseError is a load report that cannot be read.
 type ParseError struct {
 	Text string
@@ -33,7 +42,7 @@
 
 // Error names the text that cannot be read.
 func (e *ParseError) Error() string {
-	return fmt.Sprintf("load report %q is not of the form busy/queued/limit[/cold][/leaving]", e.Text)
+	return fmt.Sprintf("load report %q is not of the form busy/queued/limit[/slow=PERCENT][/cold][/ill][/leaving]", e.Text)
 }
 
 // String returns the form of the report that travels in a header.
@@ -44,9 +53,17 @@
 	b = strconv.AppendInt(b, int64(l.Queued), 10)
 	b = append(b, '/')
 	b = strconv.AppendInt(b, int64(l.Limit), 10)
+	if l.Slow != 0 {
+		b = append(b, '/')
+		b = append(b, slowPrefix...)
+		b = strconv.AppendInt(b, int64(l.Slow), 10)
+	}
 	if l.Cold {
 		b = append(b, "/cold"...)
 	}
+	if l.Ill {
+		b = append(b, "/ill"...)
+	}
 	if l.Leaving {
 		b = append(b, "/leaving"...)
 	}
@@ -69,14 +86,28 @@
 	}
 	l := Load{InFlight: numbers[0], Queued: numbers[1], Limit: numbers[2]}
 	for _, p := range parts[3:] {
-		switch p {
-		case "cold":
-			l.Cold = true
-		case "leaving":
-			l.Leaving = true
-		default:
+		if !l.readMark(p) {
 			return Load{}, &ParseError{Text: text}
 		}
 	}
 	return l, nil
 }
+
+// readMark reads one of the parts that a report may leave out.
+func (l *Load) readMark(text string) bool {
+	switch text {
+	case "cold":
+		l.Cold = true
+		return true
+	case "ill":
+		l.Ill = true
+		return true
+	case "leaving":
+		l.Leaving = true
+		return true
+	}
+	number, ok := strings.CutPrefix(text, slowPrefix)
+	n, err := strconv.Atoi(number)
+	l.Slow = n
+	return ok && err == nil && n > 0
+}
--- a/core/rules/change.go
+++ b/core/rules/change.go
@@ -72,7 +72,12 @@
 func serviceName(v *Service) string { return v.Name }
 
 // routeName returns the name by which an Edit knows r.
-func routeName(r *Route) string { return r.Method + " " + r.Path }
+func routeName(r *Route) string {
+	if r.Host == "" {
+		return r.Method + " " + r.Path
+	}
+	return r.Method + " " + r.Path + " host=" + r.Host
+}
 
 // outName returns the name by which an Edit knows o.
 func outName(o *Out) string { return o.Name }
@@ -81,7 +86,7 @@
 func routesTo(s *Set, service string) []string {
 	var names []string
 	for i := range s.Routes {
-		if s.Routes[i].Service == service {
+		if s.Routes[i].goesTo(service) {
 			names = append(names, routeName(&s.Routes[i]))
 		}
 	}
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 	maxWarm        = 1_000_000
 	maxRate        = 10_000 // a second
 	maxRank        = 9
+	maxTries       = 100
+	maxHostBytes   = 253
+	maxWeight      = 1_000_000
+	maxParts       = 64
 	maxDuration    = 24 * time.Hour
 	maxBodyBytes   = 1_000 * gigabyte
 )
@@ -36,19 +41,26 @@
 
 // serviceKeys lists the keys of a service rule.
 var serviceKeys = []key[Service]{
-	required(intKey("slots", 1, maxSlots, "10", func(s *Service) *int { return &s.Slots })),
+	required(listedKey(intKey("slots", 1, maxSlots, "10", func(s *Service) *int { return &s.Slots }), func(s *Service) *int { return &s.Slots })),
 	intKey("conns", 1, maxConnections, "250", func(s *Service) *int { return &s.Connections }),
 	intKey("cold", 1, maxSlots, "2", func(s *Service) *int { return &s.Cold }),
 	intKey("warm", 1, maxWarm, "40", func(s *Service) *int { return &s.Warm }),
 	durationKey("queue", 0, "5ms", func(s *Service) *time.Duration { return &s.Queue }),
 	boolKey("shed", func(s *Service) *bool { return &s.Shed }),
+	optional(intKey("rate", 0, maxRate, "20", func(s *Service) *int { return &s.Rate }), "0"),
+	pathKey("look", "/health", func(s *Service) *string { return &s.Look }),
 }
 
 // routeKeys lists the keys of a route rule.
 var routeKeys = []key[Route]{
-	required(nameKey("service", "ledger", func(r *Route) *string { return &r.Service })),
+	hostKey("host", "desk.example", func(r *Route) *string { return &r.Host }),
+	nameKey("service", "ledger", func(r *Route) *string { return &r.Service }),
+	splitKey("split", "ledger:90,archive:10", func(r *Route) *[]Part { return &r.Split }),
 	required(boolKey("idempotent", func(r *Route) *bool { return &r.Idempotent })),
 	durationKey("time", time.Nanosecond, "2s", func(r *Route) *time.Duration { return &r.Time }),
+	optional(durationKey("whole", 0, "10s", func(r *Route) *time.Duration { return &r.Whole }), "0s"),
+	optional(durationKey("aim", 0, "500ms", func(r *Route) *time.Duration { return &r.Aim }), "0s"),
+	intKey("tries", 1, maxTries, "2", func(r *Route) *int { return &r.Tries }),
 	intKey("rank", 1, maxRank, "3", func(r *Route) *int { return &r.Rank }),
 	sizeKey("body", "1MB", func(r *Route) *int64 { return &r.Body }),
 }
@@ -170,6 +182,84 @@
 	}
 }
 
+// optional returns k whose value none is not written out.
+func optional[T any](k key[T], none string) key[T] {
+	show := k.show
+	k.show = func(record *T) string {
+		if text := show(record); text != none {
+			return text
+		}
+		return ""
+	}
+	return k
+}
+
+// wordListed is the value of a number that the list of instances tells.
+const wordListed = "listed"
+
+// listedKey returns k with a further value, which stands for 0 in the record.
+func listedKey[T any](k key[T], at func(*T) *int) key[T] {
+	read, show := k.read, k.show
+	k.want += " or " + wordListed
+	k.read = func(record *T, text string) bool {
+		if text == wordListed {
+			*at(record) = 0
+			return true
+		}
+		return read(record, text)
+	}
+	k.show = func(record *T) string {
+		if *at(record) == 0 {
+			return wordListed
+		}
+		return show(record)
+	}
+	return k
+}
+
+// pathKey returns a key whose value is the path of an endpoint, or nothing.
+func pathKey[T any](name, example string, at func(*T) *string) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "a path that begins with /",
+		example: example,
+		read: func(record *T, text string) bool {
+			*at(record) = text
+			return text == "" || strings.HasPrefix(text, "/") && checkPath(text) == ""
+		},
+		show: func(record *T) string { return *at(record) },
+	}
+}
+
+// hostKey returns a key whose value is the name of a host without a port, or nothing.
+func hostKey[T any](name, example string, at func(*T) *string) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "a host name in small letters, without a port",
+		example: example,
+		read: func(record *T, text string) bool {
+			*at(record) = text
+			return len(text) <= maxHostBytes && consistsOf(text, "abcdefghijklmnopqrstuvwxyz0123456789-.")
+		},
+		show: func(record *T) string { return *at(record) },
+	}
+}
+
+// splitKey returns a key whose value lists services with their weights, or nothing.
+func splitKey[T any](name, example string, at func(*T) *[]Part) key[T] {
+	return key[T]{
+		name:    name,
+		want:    "services with weights, of which one is above 0",
+		example: example,
+		read: func(record *T, text string) bool {
+			parts, ok := parseSplit(text)
+			*at(record) = parts
+			return ok
+		},
+		show: func(record *T) string { return formatSplit(*at(record)) },
+	}
+}
+
 // nameKey returns a key whose value is a name.
 func nameKey[T any](name, example string, at func(*T) *string) key[T] {
 	return key[T]{
--- a/core/rules/lookup.go
+++ b/core/rules/lookup.go
@@ -10,6 +10,7 @@
 
 // target is what a route matches: a method and a literal path or a prefix.
 type target struct {
+	host   string
 	method string
 	path   string
 }
@@ -58,40 +59,62 @@
 func (x *index) addRoute(r Route, i int) {
 	prefix, found := strings.CutSuffix(r.Path, "*")
 	if !found {
-		x.literals[target{r.Method, r.Path}] = i
+		x.literals[target{r.Host, r.Method, r.Path}] = i
 		return
 	}
-	x.prefixes[target{r.Method, prefix}] = i
+	x.prefixes[target{r.Host, r.Method, prefix}] = i
 	x.lengths = append(x.lengths, len(prefix))
 }
 
-// Route returns the route of a request. A literal path goes before a prefix and
-// a long prefix before a short one; of two routes with the same path, the one
+// Route returns the route of a request for a host without a port. A route that
+// names the host goes before one for all hosts, then a literal path before a prefix
+// and a long prefix before a short one; of two routes with the same path, the one
 // that names the method goes before "*".
-func (s *Set) Route(method, path string) (Route, bool) {
-	if i, ok := find(s.index.literals, method, path); ok {
+func (s *Set) Route(method, host, path string) (Route, bool) {
+	if host != "" {
+		if i, ok := s.index.route(method, host, path); ok {
+			return s.Routes[i], true
+		}
+	}
+	if i, ok := s.index.route(method, "", path); ok {
 		return s.Routes[i], true
 	}
-	for _, n := range s.index.lengths {
+	return Route{}, false
+}
+
+// route returns the position of the route of a request among those that name the host.
+func (x *index) route(method, host, path string) (int, bool) {
+	if i, ok := find(x.literals, method, host, path); ok {
+		return i, true
+	}
+	for _, n := range x.lengths {
 		if n > len(path) {
 			continue
 		}
-		if i, ok := find(s.index.prefixes, method, path[:n]); ok {
-			return s.Routes[i], true
+		if i, ok := find(x.prefixes, method, host, path[:n]); ok {
+			return i, true
 		}
 	}
-	return Route{}, false
+	return 0, false
 }
 
 // find looks a path up by its method, then by any method.
-func find(routes map[target]int, method, path string) (int, bool) {
-	if i, ok := routes[target{method, path}]; ok {
+func find(routes map[target]int, method, host, path string) (int, bool) {
+	if i, ok := routes[target{host, method, path}]; ok {
 		return i, true
 	}
-	i, ok := routes[target{anyMethod, path}]
+	i, ok := routes[target{host, anyMethod, path}]
 	return i, ok
 }
 
+// goesTo reports whether requests of r may go to a service.
+func (r *Route) goesTo(service string) bool {
+	if r.Service == service {
+		return true
+	}
+	return slices.ContainsFunc(r.Split, func(p Part) bool { return p.Service == service })
+}
+
 // Service returns the limits of the named service.
 func (s *Set) Service(name string) (Service, bool) {
 	i, ok := s.index.services[name]
--- a/core/rules/print.go
+++ b/core/rules/print.go
@@ -55,14 +55,18 @@
 	return "budget" + showKeys(budgetKeys, &b)
 }
 
-// showKeys returns every pair of a rule, each after a space.
+// showKeys returns every pair of a rule that has a value, each after a space.
 func showKeys[T any](keys []key[T], record *T) string {
 	var b strings.Builder
 	for _, k := range keys {
+		value := k.show(record)
+		if value == "" {
+			continue
+		}
 		b.WriteByte(' ')
 		b.WriteString(k.name)
 		b.WriteByte('=')
-		b.WriteString(k.show(record))
+		b.WriteString(value)
 	}
 	return b.String()
 }
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -12,6 +12,7 @@
 	defaultQueue = 5 * time.Millisecond
 	defaultTime  = 2 * time.Second
 	defaultRank  = 3
+	defaultTries = 4
 	defaultBody  = megabyte
 	defaultProbe = 5    // a second
 	defaultLook  = 2    // a second
@@ -38,8 +39,8 @@
 	v := Service{Name: words[1].text, Cold: defaultCold, Queue: defaultQueue, Origin: o}
 	p.once(words[1].column, "service "+v.Name)
 	seen := readKeys(p, words[:2], words[2:], serviceKeys, &v)
+	fillService(&v)
 	if v.Slots > 0 {
-		fillService(&v)
 		p.checkService(v, seen)
 	}
 	p.set.Services = append(p.set.Services, v)
@@ -47,6 +48,9 @@
 
 // fillService sets the limits that follow from the slots where a rule has none.
 func fillService(v *Service) {
+	if v.Slots == 0 {
+		return
+	}
 	if v.Connections == 0 {
 		v.Connections = v.Slots * connectionsPerSlot
 	}
@@ -78,6 +82,7 @@
 		Path:   words[2].text,
 		Time:   defaultTime,
 		Rank:   defaultRank,
+		Tries:  defaultTries,
 		Body:   defaultBody,
 		Origin: o,
 	}
@@ -87,14 +92,31 @@
 	if problem := checkPath(r.Path); problem != "" {
 		p.fault(words[2].column, fmt.Sprintf("path %q %s", r.Path, problem), mendRoute)
 	}
-	p.once(words[1].column, "route "+r.Method+" "+r.Path)
 	seen := readKeys(p, words[:3], words[3:], routeKeys, &r)
-	if at, ok := seen["service"]; ok && isName(r.Service) {
-		p.uses = append(p.uses, use{service: r.Service, line: p.line, column: at.column})
-	}
+	p.once(words[1].column, "route "+routeName(&r))
+	p.checkTarget(words[2].column, r, seen)
 	p.set.Routes = append(p.set.Routes, r)
 }
 
+// checkTarget notes the services that r names, and finds a route that names none
+// or names them twice over.
+func (p *parser) checkTarget(column int, r Route, seen map[string]word) {
+	service, single := seen["service"]
+	split, shared := seen["split"]
+	switch {
+	case !single && !shared:
+		p.fault(column, "key service is missing", "add service=ledger")
+	case single && shared:
+		p.fault(split.column, "the route has both service and split", "keep one of the two")
+	}
+	if single && isName(r.Service) {
+		p.uses = append(p.uses, use{service: r.Service, line: p.line, column: service.column})
+	}
+	for _, part := range r.Split {
+		p.uses = append(p.uses, use{service: part.Service, line: p.line, column: split.column})
+	}
+}
+
 // isMethod tells whether text is a method of HTTP or stands for all of them.
 func isMethod(text string) bool {
 	if text == anyMethod {
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -37,7 +37,8 @@
 // Service holds the limits of each backend server of one service.
 type Service struct {
 	Name string
-	// Slots is the number of requests that a warm backend server runs at once.
+	// Slots is the number of requests that a warm backend server runs at once; 0
+	// stands for the number that the list of instances tells of each one.
 	Slots int
 	// Connections is the number of connections that a backend server accepts.
 	Connections int
@@ -48,7 +49,12 @@
 	// Queue is the longest time that a request waits at a busy backend server.
 	Queue time.Duration
 	// Shed tells that a backend server of this service answers 503 only before it runs a request.
-	Shed   bool
+	Shed bool
+	// Rate is the number of requests a second that a backend server in cold start
+	// bears; at 0 the bound is Cold and Warm.
+	Rate int
+	// Look is the path of the health endpoint; it is empty where the adapter knows it.
+	Look   string
 	Origin Origin
 }
 
@@ -56,11 +62,21 @@
 type Route struct {
 	Method string
 	// Path is a literal path, or a prefix that ends in "*".
-	Path       string
-	Service    string
+	Path string
+	// Host is the host that the route serves; an empty one stands for all hosts.
+	Host    string
+	Service string
+	// Split shares the requests among several services; it is empty where Service is set.
+	Split      []Part
 	Idempotent bool
 	// Time is the longest time that a caller waits for the head of the answer.
 	Time time.Duration
+	// Whole is the longest time until the end of the answer; 0 sets no limit.
+	Whole time.Duration
+	// Aim is the time within which an answer is of full use; 0 names none.
+	Aim time.Duration
+	// Tries is the largest number of backend servers that one request is sent to.
+	Tries int
 	// Rank orders requests when all slots are busy; 1 goes first.
 	Rank int
 	// Body is the largest request body in bytes.
@@ -68,6 +84,13 @@
 	Origin Origin
 }
 
+// Part is one service of a route that shares its requests among several.
+type Part struct {
+	Service string
+	// Weight is the share of the service, relative to the weights of the other parts.
+	Weight int
+}
+
 // Budget bounds the work that the system adds of its own.
 type Budget struct {
 	// Probe is the largest number of probes a second that a node sends, and that a node answers.
--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -99,3 +99,33 @@
 	}
 	return strconv.FormatInt(n, 10) + "B"
 }
+
+// parseSplit reads services with their weights, each once.
+func parseSplit(text string) ([]Part, bool) {
+	if text == "" {
+		return nil, true
+	}
+	var parts []Part
+	total := int64(0)
+	seen := make(map[string]bool)
+	for item := range strings.SplitSeq(text, ",") {
+		name, weight, found := strings.Cut(item, ":")
+		n, ok := parseDigits(weight)
+		if !found || !ok || n > maxWeight || !isName(name) || seen[name] || len(parts) == maxParts {
+			return nil, false
+		}
+		seen[name] = true
+		total += n
+		parts = append(parts, Part{Service: name, Weight: int(n)})
+	}
+	return parts, total > 0
+}
+
+// formatSplit returns parts in the form that parseSplit reads.
+func formatSplit(parts []Part) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = p.Service + ":" + strconv.Itoa(p.Weight)
+	}
+	return strings.Join(texts, ",")
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -104,7 +104,8 @@
 	return &View[T]{parse: parse}
 }
 
-// Offer takes the text if it is newer than the one held and valid. It fails with
+// Offer takes the text if it is newer than the one held and valid. The text held
+// under a newer revision is Known, and gets that revision. It fails with
 // a *InvalidError, and only if the verdict is Invalid; the text held then stays.
 func (v *View[T]) Offer(text string, revision uint64, now time.Time) (Verdict, error) {
 	offered := Version{Revision: revision, Digest: xxhash.Sum64String(text)}
@@ -114,6 +115,9 @@
 			return Known, nil
 		case c < 0:
 			return Older, nil
+		case offered.Digest == v.version.Digest:
+			v.version = offered
+			return Known, nil
 		}
 	}
 	if e := v.fault(offered); e != nil {
@@ -171,9 +175,26 @@
 	return max(now.Sub(v.confirmed), 0)
 }
 
+// Holds reports whether the text held is that of a version which a peer announced,
+// and takes over its revision where that is newer.
+func (v *View[T]) Holds(o Version) bool {
+	if !v.held || o.Digest != v.version.Digest {
+		return false
+	}
+	v.version.Revision = max(v.version.Revision, o.Revision)
+	return true
+}
+
+// Advance takes over that the text held is also that of a later revision.
+func (v *View[T]) Advance(revision uint64) {
+	if v.held {
+		v.version.Revision = max(v.version.Revision, revision)
+	}
+}
+
 // Wants reports whether a version that a peer announced is worth fetching.
 func (v *View[T]) Wants(o Version) bool {
-	if v.held && o.Compare(v.version) <= 0 {
+	if v.held && (o.Compare(v.version) <= 0 || o.Digest == v.version.Digest) {
 		return false
 	}
 	return o != Version{} && v.fault(o) == nil
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -13,6 +13,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -26,8 +27,9 @@
 const (
 	// readTime is the longest time of a read of the platform, besides the time that it may hold the call.
 	readTime = 2 * time.Second
-	// lookTime is the longest time of a look at the backend server.
-	lookTime = time.Second
+	// lookTime is the longest time of a look at the backend server, which answers at
+	// once while it is sound.
+	lookTime = 500 * time.Millisecond
 	// bootstrapTime is the time between two reads of a peer by a node that lacks a document.
 	bootstrapTime = 500 * time.Millisecond
 )
@@ -38,10 +40,17 @@
 	Looker   serve.Looker
 	// Peers are the control listeners of a few other nodes that are asked at the start.
 	Peers []netip.AddrPort
+	// Caster tells many peers the versions of this node; nil tells nobody.
+	Caster Caster
 	// Finished is called when a leaving node has no work left.
 	Finished func()
 }
 
+// Caster tells many peers the versions of this node. It must not block.
+type Caster interface {
+	Cast(e effect.Cast)
+}
+
 // Carrier carries out effects beside the loop that asks for them.
 type Carrier struct {
 	options Options
@@ -51,6 +60,8 @@
 	context context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// looking tells that a look has not ended.
+	looking atomic.Bool
 	// mutex keeps effects from starting once Stop waits for those that run.
 	mutex   sync.Mutex
 	stopped bool
@@ -89,8 +100,12 @@
 		c.spawn(func() { c.fetch(e) })
 	case effect.Tell:
 		c.spawn(func() { c.tell(e) })
+	case effect.Cast:
+		c.cast(e)
 	case effect.Look:
-		c.spawn(c.look)
+		if c.looking.CompareAndSwap(false, true) {
+			c.spawn(func() { c.look(e) })
+		}
 	case effect.Probe:
 		c.spawn(func() { c.probe(e) })
 	case effect.Finished:
@@ -128,7 +143,7 @@
 		read = c.options.Platform.Instances
 	}
 	asked := time.Now()
-	d, err := read(ctx, e.After, e.Wait)
+	d, err := read(ctx, plat.Query{After: e.After, Wait: e.Wait, Late: e.Late})
 	now := time.Now()
 	var unchanged *plat.UnchangedError
 	switch {
@@ -136,11 +151,11 @@
 		// The process slept, so the answer tells what was true before.
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	case errors.As(err, &unchanged):
-		c.loop.Do(event.Unchanged{At: now, Asked: asked, Document: e.Document})
+		c.loop.Do(event.Unchanged{At: now, Asked: asked, Document: e.Document, Revision: unchanged.Revision})
 	case err != nil:
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	default:
-		c.loop.Do(event.Read{At: now, Asked: asked, Document: e.Document, Text: d.Text, Revision: d.Revision})
+		c.loop.Do(event.Read{At: now, Asked: asked, Document: e.Document, Text: d.Text, Revision: d.Revision, Late: e.Late})
 	}
 }
 
@@ -198,18 +213,35 @@
 	return v.Rules.Revision > 0 && v.Fleet.Revision > 0
 }
 
+// cast tells many peers the versions of this node.
+func (c *Carrier) cast(e effect.Cast) {
+	if c.options.Caster != nil {
+		c.options.Caster.Cast(e)
+	}
+}
+
 // look looks at the backend server beside this node.
-func (c *Carrier) look() {
+func (c *Carrier) look(e effect.Look) {
+	defer c.looking.Store(false)
 	ctx, cancel := context.WithTimeout(c.context, lookTime)
 	defer cancel()
-	s, err := c.options.Looker.Look(ctx)
+	s, err := c.options.Looker.Look(ctx, e.Path)
 	if c.context.Err() != nil {
 		return
 	}
-	c.loop.Do(event.Looked{At: time.Now(), Condition: conditionOf(s, err)})
+	c.loop.Do(looked(s, err))
+}
+
+// looked returns what a look has shown.
+func looked(s serve.Sight, err error) event.Looked {
+	e := event.Looked{At: time.Now(), Condition: conditionOf(s, err), Life: s.Life, ColdLeft: s.ColdLeft}
+	if err == nil && s.Slots > 0 {
+		e.Sight = &event.Sight{Busy: s.Busy, Queued: s.Queued, Slots: s.Slots, Slow: s.Slow}
+	}
+	return e
 }
 
-// conditionOf returns what a look has shown.
+// conditionOf returns the condition that a look has shown.
 func conditionOf(s serve.Sight, err error) event.Condition {
 	if err != nil {
 		return event.Unreachable
@@ -219,6 +251,8 @@
 		return event.Cold
 	case serve.Draining:
 		return event.Draining
+	case serve.Failing:
+		return event.Failing
 	case serve.Warm, serve.Unknown:
 	}
 	return event.Warm
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -88,7 +88,7 @@
 var _ serve.Looker = noServer{}
 
 // Look tells nothing.
-func (noServer) Look(context.Context) (serve.Sight, error) { return serve.Sight{}, nil }
+func (noServer) Look(context.Context, string) (serve.Sight, error) { return serve.Sight{}, nil }
 
 // New starts a client. It reads the rules and the list of instances on its own;
 // until then requests fail with a *NotRunError.
@@ -119,12 +119,15 @@
 		Carry:    c.carrier.Do,
 	})
 	w := wire.New(c.loop, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
-	c.link = link.New(c.loop)
+	c.link = link.New(c.loop, &net.Dialer{Timeout: dialTime})
 	c.front = front.New(c.loop, front.Options{Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope})
 	c.carrier.Start(c.loop, w)
 	return c
 }
 
+// dialTime is the longest time for making a connection to a node.
+const dialTime = 500 * time.Millisecond
+
 // Ready waits until the client holds rules and a list of instances. It fails
 // with a *NotReadyError when ctx ends before.
 func (c *Client) Ready(ctx context.Context) error {
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -29,6 +29,17 @@
 	Refuse = "refuse"
 )
 
+// Values of the key "dialect".
+const (
+	// Plain is the product's own dialect.
+	Plain = "plain"
+	// Platform is the dialect of the users' platform.
+	Platform = "platform"
+)
+
+// mostAsked is the largest value of the key "ask".
+const mostAsked = 16
+
 // Bounds and defaults of the keys "drain" and "lag".
 const (
 	defaultDrain = 3 * time.Second
@@ -40,7 +51,8 @@
 
 // Settings tell a node who it is, where it listens and whom it asks.
 type Settings struct {
-	// Instance is the name of the instance that the node runs on.
+	// Instance is the name of the instance that the node runs on; where the text has
+	// none it is made of the IP number of Nodes.
 	Instance string
 	// Centre is the name of the data centre of the instance.
 	Centre string
@@ -54,6 +66,9 @@
 	Control netip.AddrPort
 	// Operators is the listener for status, metrics and the time line.
 	Operators netip.AddrPort
+	// Ready is the listener that tells the platform whether the node is ready; it is
+	// not valid where there is none.
+	Ready netip.AddrPort
 	// Server is the address of the backend server beside the node.
 	Server netip.AddrPort
 	// Platform is the address of the configuration service and the instance list.
@@ -68,6 +83,13 @@
 	// Lag is the longest lag of a view for which the owner of a key is certain. It
 	// has to be the same on every node.
 	Lag time.Duration
+	// Dialect is how callers, the backend server and the platform are spoken with:
+	// Plain or Platform.
+	Dialect string
+	// Ask is the number of guards that are asked for their load before a request is sent.
+	Ask int
+	// Rules are lines of rules that are added to what the platform publishes.
+	Rules []string
 }
 
 // Fault is one thing that is wrong with a text of settings.
@@ -135,6 +157,7 @@
 	r := newReader()
 	r.readText(text)
 	r.checkListeners()
+	r.nameInstance()
 	if len(r.faults) > 0 {
 		return nil, &FaultsError{File: name, Faults: r.sorted()}
 	}
--- a/io/conf/listener.go
+++ b/io/conf/listener.go
@@ -21,6 +21,7 @@
 		{"nodes", s.Nodes},
 		{"control", s.Control},
 		{"operators", s.Operators},
+		{"ready", s.Ready},
 	}
 	// A backend server may have an address of its own beside a listener on all addresses.
 	if s.Server.Addr().IsLoopback() || slices.ContainsFunc(all, func(l listener) bool { return l.address == s.Server }) {
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -31,12 +31,12 @@
 // newReader returns a reader that holds the defaults.
 func newReader() *reader {
 	r := &reader{
-		settings: Settings{Isolated: Serve, Drain: defaultDrain, Lag: defaultLag},
+		settings: Settings{Isolated: Serve, Drain: defaultDrain, Lag: defaultLag, Dialect: Plain},
 		seen:     make(map[string]ast.Node),
 	}
 	s := &r.settings
 	r.keys = []key{
-		{name: "instance", read: r.nameInto("instance", &s.Instance)},
+		{name: "instance", optional: true, read: r.nameInto("instance", &s.Instance)},
 		{name: "centre", read: r.nameInto("centre", &s.Centre)},
 		{name: "service", read: r.nameInto("service", &s.Service)},
 		{name: "callers", read: r.listenerInto("callers", &s.Callers)},
@@ -45,8 +45,12 @@
 		{name: "operators", read: r.listenerInto("operators", &s.Operators)},
 		{name: "server", read: r.targetInto("server", &s.Server)},
 		{name: "platform", read: r.targetInto("platform", &s.Platform)},
+		{name: "ready", optional: true, read: r.listenerInto("ready", &s.Ready)},
+		{name: "dialect", optional: true, read: r.wordInto("dialect", &s.Dialect, Plain, Platform)},
+		{name: "ask", optional: true, read: r.readAsk},
+		{name: "rules", optional: true, read: r.readRules},
 		{name: "peers", optional: true, read: r.readPeers},
-		{name: "isolated", optional: true, read: r.readIsolated},
+		{name: "isolated", optional: true, read: r.wordInto("isolated", &s.Isolated, Serve, Refuse)},
 		{name: "drain", optional: true, read: r.timeInto("drain", &s.Drain, 0, longestDrain)},
 		{name: "lag", optional: true, read: r.timeInto("lag", &s.Lag, shortestLag, longestLag)},
 	}
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -5,9 +5,13 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+
+	"bulrushlock/core/rules"
 )
 
 // name is the form of the names of instances, data centres and services.
@@ -129,18 +133,65 @@
 	}
 }
 
-// readIsolated reads what an isolated node does.
-func (r *reader) readIsolated(n ast.Node) {
-	const key, want = "isolated", `"serve" or "refuse"`
-	text, ok := r.text(n, key, want)
+// wordInto returns a function that reads one of two words into place.
+func (r *reader) wordInto(key string, place *string, first, second string) func(ast.Node) {
+	want := fmt.Sprintf("%q or %q", first, second)
+	return func(n ast.Node) {
+		text, ok := r.text(n, key, want)
+		if !ok {
+			return
+		}
+		if text != first && text != second {
+			r.add(n, key, fmt.Sprintf("must be %s, not %q", want, text))
+			return
+		}
+		*place = text
+	}
+}
+
+// readAsk reads the number of guards that are asked.
+func (r *reader) readAsk(n ast.Node) {
+	const key = "ask"
+	i, ok := n.(*ast.IntegerNode)
 	if !ok {
+		r.add(n, key, fmt.Sprintf("must be a whole number from 0 to %d, not %s", mostAsked, kind(n)))
 		return
 	}
-	if text != Serve && text != Refuse {
-		r.add(n, key, fmt.Sprintf("must be %s, not %q", want, text))
+	count, err := strconv.Atoi(i.GetToken().Value)
+	if err != nil || count < 0 || count > mostAsked {
+		r.add(n, key, fmt.Sprintf("must be a whole number from 0 to %d, not %s", mostAsked, i.GetToken().Value))
+		return
+	}
+	r.settings.Ask = count
+}
+
+// readRules reads the lines of rules and checks them as a part of a whole text.
+func (r *reader) readRules(n ast.Node) {
+	const key = "rules"
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		r.add(n, key, fmt.Sprintf("must be a sequence of rules, not %s", kind(n)))
 		return
 	}
-	r.settings.Isolated = text
+	for _, v := range s.Values {
+		text, ok := r.text(v, key, "a rule")
+		if !ok {
+			continue
+		}
+		if _, err := rules.Parse(text + "\nservice any slots=1   # settings: a text needs a service"); err != nil {
+			r.add(v, key, err.Error())
+			continue
+		}
+		r.settings.Rules = append(r.settings.Rules, text)
+	}
+}
+
+// nameInstance names the instance by its IP number where the text gives no name.
+func (r *reader) nameInstance() {
+	s := &r.settings
+	if s.Instance == "" && s.Nodes.IsValid() {
+		s.Instance = strings.NewReplacer(".", "-", ":", "-").Replace(s.Nodes.Addr().String())
+	}
 }
 
 // timeInto returns a function that reads a time between least and most into place.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/node"
 	"bulrushlock/core/pick"
@@ -35,14 +36,15 @@
 	"bulrushlock/io/conf"
 	"bulrushlock/io/front"
 	"bulrushlock/io/gate"
+	"bulrushlock/io/gram"
 	"bulrushlock/io/link"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 	"bulrushlock/io/oper"
-	"bulrushlock/io/plat"
-	"bulrushlock/io/serve"
+	"bulrushlock/io/sock"
 	"bulrushlock/io/turns"
 	"bulrushlock/io/wire"
+	"bulrushlock/io/xchg"
 )
 
 const (
@@ -54,6 +56,13 @@
 	idleTime = 2 * time.Minute
 	// dialTime is the longest time for making a connection to the backend server.
 	dialTime = time.Second
+	// nodeTime is the longest time for making a connection to another node.
+	nodeTime = 500 * time.Millisecond
+	// serverKeep is the longest time that an unused connection to the backend server is kept.
+	serverKeep = 30 * time.Second
+	// muteFinish is the time for which an answer may come late where no caller can
+	// ask for it any more.
+	muteFinish = 250 * time.Millisecond
 	// serverConnections is the number of unused connections that are kept to the backend server.
 	serverConnections = 128
 )
@@ -61,7 +70,9 @@
 // Daemon is a running node.
 type Daemon struct {
 	settings *conf.Settings
+	adapter  Adapter
 	logger   *slog.Logger
+	grams    *gram.Gram
 	loop     *loop.Loop
 	carrier  *carry.Carrier
 	meter    *meter.Meter
@@ -93,6 +104,10 @@
 // listeners are the four listeners of a node.
 type listeners struct {
 	callers, nodes, control, operators net.Listener
+	// ready is nil where the platform does not ask.
+	ready net.Listener
+	// grams is the connection for datagrams, at the address of control.
+	grams *net.UDPConn
 }
 
 // settings returns a copy of s with the addresses that the listeners really have.
@@ -114,18 +129,22 @@
 }
 
 // New starts a node. It fails with a *ListenError.
-func New(s *conf.Settings, logger *slog.Logger) (*Daemon, error) {
+func New(s *conf.Settings, logger *slog.Logger, options ...Option) (*Daemon, error) {
 	l, err := listen(s)
 	if err != nil {
 		return nil, err
 	}
 	d := &Daemon{
+		adapter:  plainAdapter(s),
 		settings: l.settings(s),
 		logger:   logger.With("instance", s.Instance, "centre", s.Centre),
 		control:  l.control,
 		finished: make(chan struct{}),
 		ended:    make(chan struct{}),
 	}
+	for _, o := range options {
+		o(d)
+	}
 	d.start(l)
 	return d, nil
 }
@@ -143,20 +162,35 @@
 		{"nodes", s.Nodes, &l.nodes},
 		{"control", s.Control, &l.control},
 		{"operators", s.Operators, &l.operators},
+		{"ready", s.Ready, &l.ready},
 	} {
-		opener, err := net.Listen("tcp", o.address.String())
+		if !o.address.IsValid() {
+			continue
+		}
+		opener, err := sock.Listen(o.address.String())
 		if err != nil {
-			for _, other := range opened {
-				_ = other.Close()
-			}
+			closeAll(opened)
 			return l, &ListenError{Key: o.key, Address: o.address, Cause: err}
 		}
 		*o.place = opener
 		opened = append(opened, opener)
 	}
+	grams, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addressOf(l.control)))
+	if err != nil {
+		closeAll(opened)
+		return l, &ListenError{Key: "control", Address: s.Control, Cause: err}
+	}
+	l.grams = grams
 	return l, nil
 }
 
+// closeAll closes listeners.
+func closeAll(opened []net.Listener) {
+	for _, l := range opened {
+		_ = l.Close()
+	}
+}
+
 // start puts the parts together and starts them.
 func (d *Daemon) start(l listeners) {
 	s := d.settings
@@ -178,9 +212,10 @@
 	d.meter = m
 	self := ticket.Node{Instance: s.Instance, Incarnation: rand.Uint64()}
 	d.carrier = carry.New(carry.Options{
-		Platform: plat.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{DialContext: m.Dialer(&net.Dialer{})}}),
-		Looker:   serve.NewHTTP(s.Server, &http.Client{}),
+		Platform: d.adapter.Reader,
+		Looker:   d.adapter.Looker,
 		Peers:    s.Peers,
+		Caster:   d,
 		Finished: func() { d.once.Do(func() { close(d.finished) }) },
 	})
 	n := node.New(node.Identity{
@@ -191,6 +226,8 @@
 		Refuse:      s.Isolated == conf.Refuse,
 		Drain:       s.Drain,
 		Lag:         s.Lag,
+		Ask:         s.Ask,
+		Listed:      s.Dialect == conf.Platform,
 	}, pick.NewAware())
 	d.loop = loop.New(n, loop.Options{
 		Instance: s.Instance,
@@ -199,21 +236,43 @@
 		Scope:    scope,
 		Carry:    d.carrier.Do,
 	})
+	d.grams = gram.New(d.loop, gram.Options{Node: self, Conn: l.grams, Control: s.Control, Logger: d.logger})
 	l.control = m.Listener(l.control)
-	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(&net.Dialer{}))
+	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(sock.NewDialer(nodeTime)))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
 }
 
 // serve starts to serve the listeners.
 func (d *Daemon) serve(l listeners, w *wire.Wire, self ticket.Node, scope tally.Scope, metrics http.Handler) {
-	d.link = link.New(d.loop)
-	g := gate.New(d.loop, gate.Options{Node: self, Server: d.settings.Server, Transport: serverTransport(), Finish: gate.FinishTime})
-	f := front.New(d.loop, front.Options{Local: g, Remote: d.link, Asker: w, Scope: scope})
+	d.link = link.New(d.loop, sock.NewDialer(nodeTime))
+	dialect := d.adapter.Dialect
+	isPlain := d.settings.Dialect != conf.Platform
+	g := gate.New(d.loop, gate.Options{
+		Node:      self,
+		Server:    d.settings.Server,
+		Transport: serverTransport(dialect),
+		Finish:    d.finishTime(),
+		Dialect:   dialect,
+		Closing:   !isPlain,
+	})
+	f := front.New(d.loop, front.Options{
+		Local:    g,
+		Remote:   d.link,
+		Asker:    w,
+		Surveyor: d.grams,
+		Scope:    scope,
+		Dialect:  dialect,
+		Service:  d.settings.Service,
+		Mute:     !isPlain,
+	})
 	d.carrier.Start(d.loop, w)
 	go w.Serve(l.control)
 	d.add(l.callers, f)
 	d.add(l.nodes, g)
 	d.add(l.operators, oper.New(d.loop, metrics))
+	if l.ready != nil {
+		d.add(l.ready, d.adapter.Ready(d.isReady))
+	}
 	go d.measure(newGauges(scope))
 	go d.end()
 }
@@ -237,10 +296,35 @@
 }
 
 // serverTransport returns the transport to the backend server.
-func serverTransport() *turns.Transport {
-	return turns.New(&net.Dialer{Timeout: dialTime}, serverConnections, idleTime)
+func serverTransport(d xchg.Dialect) *turns.Transport {
+	return turns.New(sock.NewDialer(dialTime), turns.Options{
+		Idle: serverConnections,
+		Keep: serverKeep,
+		Match: func(r *http.Request, a *http.Response) bool {
+			return d.Belongs(r.Header, a.Header)
+		},
+	})
 }
 
+// finishTime returns the time past its deadline for which a non-idempotent request
+// runs on. Callers who know no tickets cannot ask after its answer.
+func (d *Daemon) finishTime() time.Duration {
+	if d.settings.Dialect == conf.Platform {
+		return muteFinish
+	}
+	return gate.FinishTime
+}
+
+// isReady reports whether the node can serve callers.
+func (d *Daemon) isReady() bool {
+	ready := false
+	d.loop.View(func(n *node.Node) { ready = n.Ready() })
+	return ready
+}
+
+// Cast tells peers the versions that this node holds.
+func (d *Daemon) Cast(e effect.Cast) { d.grams.Cast(e) }
+
 // Settings returns the settings of the node. A port that the system chose stands
 // in place of port 0.
 func (d *Daemon) Settings() conf.Settings { return *d.settings }
@@ -274,6 +358,7 @@
 		}
 	}
 	_ = d.control.Close()
+	d.grams.Close()
 	d.carrier.Stop()
 	d.loop.Stop()
 	d.link.Close()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,6 +17,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/xchg"
 )
@@ -34,7 +35,21 @@
 	// Remote exchanges attempts with the guards of other nodes.
 	Remote xchg.Exchanger
 	Asker  Asker
-	Scope  tally.Scope
+	// Surveyor asks guards for their loads; nil asks nobody.
+	Surveyor Surveyor
+	Scope    tally.Scope
+	// Dialect is that of callers; nil stands for the product's own.
+	Dialect xchg.Dialect
+	// Service is the service of the backend server beside the node.
+	Service string
+	// Mute keeps tickets from callers, who do not know them.
+	Mute bool
+}
+
+// Surveyor asks guards for their loads.
+type Surveyor interface {
+	// Survey returns the loads that come within a few milliseconds.
+	Survey(ctx context.Context, peers []fleet.Instance) []event.Loaded
 }
 
 // Front is the HTTP handler for callers.
@@ -49,6 +64,9 @@
 
 // New returns the handler for the callers of a node.
 func New(l *loop.Loop, o Options) *Front {
+	if o.Dialect == nil {
+		o.Dialect = xchg.Plain{}
+	}
 	f := &Front{loop: l, options: o, outcomes: make(map[effect.Outcome]tally.Counter)}
 	for _, outcome := range []effect.Outcome{effect.Run, effect.NotRun, effect.Unknown, effect.Running} {
 		f.outcomes[outcome] = o.Scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("requests")
@@ -60,7 +78,7 @@
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	e, p := admit(r)
+	e, p := f.admit(r)
 	if p != nil {
 		writeProblem(w, *p)
 		return
@@ -73,6 +91,7 @@
 		return
 	}
 	e.ID = v.id
+	v.began, v.name = began, e.Name
 	f.loop.Do(e)
 	v.run()
 	f.outcomes[v.outcome].Inc(1)
@@ -80,7 +99,7 @@
 }
 
 // admit reads what the entry has to know of r, or returns the problem for which r is not served.
-func admit(r *http.Request) (event.Request, *problem) {
+func (f *Front) admit(r *http.Request) (event.Request, *problem) {
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
 		return event.Request{}, &problem{Status: http.StatusNotImplemented, Outcome: effect.NotRun.String(), Reason: "upgrade"}
 	}
@@ -93,7 +112,7 @@
 		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "path"}
 		return event.Request{}, p
 	}
-	e, err := requestOf(r)
+	e, err := f.requestOf(r)
 	if err != nil {
 		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
 		return event.Request{}, p
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/ticket"
@@ -20,8 +21,9 @@
 	Ticket  string `json:"ticket,omitempty"`
 }
 
-// retryAfter is the time in seconds after which a caller may try a refused request again.
-const retryAfter = "1"
+// usualRetry is the time after which a caller may try a refused request again
+// where the entry knows no better one.
+const usualRetry = time.Second
 
 // relay gives the answer of an attempt to the caller. Where the answer breaks
 // off, the connection to the caller is broken too, so that it cannot take the
@@ -37,7 +39,12 @@
 	h := v.writer.Header()
 	xchg.CopyHeader(h, answer.Header)
 	h.Set(xchg.HeaderOutcome, effect.Run.String())
-	h.Set(xchg.HeaderTicket, t.String())
+	v.setTicket(t)
+	if a.whole > 0 {
+		// An answer that is cut here breaks the connection to the caller.
+		overdue := time.AfterFunc(a.whole-time.Since(v.began), a.cancel)
+		defer overdue.Stop()
+	}
 	if answer.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
@@ -47,12 +54,19 @@
 	}
 }
 
+// setTicket puts the ticket of the answered attempt into the answer.
+func (v *visit) setTicket(t ticket.Ticket) {
+	if !v.front.options.Mute {
+		v.writer.Header().Set(xchg.HeaderTicket, t.String())
+	}
+}
+
 // recover gives the kept answer of an earlier attempt to the caller.
 func (v *visit) recover(e effect.Recover) {
 	h := v.writer.Header()
 	xchg.CopyHeader(h, v.recovered.Header)
 	h.Set(xchg.HeaderOutcome, effect.Run.String())
-	h.Set(xchg.HeaderTicket, e.Ticket.String())
+	v.setTicket(e.Ticket)
 	h.Set("Content-Length", strconv.Itoa(len(v.recovered.Body)))
 	v.writer.WriteHeader(v.recovered.Status)
 	if _, err := v.writer.Write(v.recovered.Body); err != nil {
@@ -67,9 +81,16 @@
 		e.Reason = effect.ReasonBody
 	}
 	p := problem{Status: statusOf(e), Outcome: e.Outcome.String(), Reason: string(e.Reason), Detail: detailOf(e)}
-	if e.Ticket != nil {
+	if e.Ticket != nil && !v.front.options.Mute {
 		p.Ticket = e.Ticket.String()
-		v.writer.Header().Set(xchg.HeaderTicket, p.Ticket)
+		v.setTicket(*e.Ticket)
+	}
+	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusConflict {
+		after := e.Retry
+		if after == 0 {
+			after = usualRetry
+		}
+		v.writer.Header().Set("Retry-After", v.front.options.Dialect.Retry(after))
 	}
 	if v.stream != nil {
 		// Without this the answer would wait until the caller has sent its whole body.
@@ -124,9 +145,6 @@
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(xchg.HeaderOutcome, p.Outcome)
 	h.Set(xchg.HeaderReason, p.Reason)
-	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusConflict {
-		h.Set("Retry-After", retryAfter)
-	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -8,11 +8,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
-	"bulrushlock/core/depth"
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/xchg"
@@ -40,19 +41,21 @@
 func (e *BodyError) Unwrap() error { return e.Cause }
 
 // requestOf reads what the entry has to know of r. It fails with the typed error of the header that is bad.
-func requestOf(r *http.Request) (event.Request, error) {
-	call, err := depth.Parse(r.Header.Get(xchg.HeaderCall))
+func (f *Front) requestOf(r *http.Request) (event.Request, error) {
+	ask, err := f.options.Dialect.Ask(r.Header)
 	if err != nil {
 		return event.Request{}, err
 	}
 	e := event.Request{
 		At:     time.Now(),
+		Name:   ask.Name,
 		Method: r.Method,
+		Host:   hostOf(r.Host),
 		Path:   r.URL.Path,
 		Size:   r.ContentLength,
 		Key:    keyOf(r),
 		First:  r.Header.Get(xchg.HeaderFirst) == "yes",
-		Call:   call,
+		Call:   ask.Call,
 		Random: rand.Uint64(),
 	}
 	if text := r.Header.Get(xchg.HeaderTicket); text != "" {
@@ -65,6 +68,14 @@
 	return e, nil
 }
 
+// hostOf returns the name of a host in small letters, without its port.
+func hostOf(text string) string {
+	if host, _, err := net.SplitHostPort(text); err == nil {
+		text = host
+	}
+	return strings.ToLower(text)
+}
+
 // keyOf returns the digest that stands for the Idempotency-Key of r, or an
 // empty text where it has none. Equal keys of two callers, or for two targets,
 // have different digests.
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -30,6 +30,9 @@
 	// over tells that a body of unknown length was larger than its rule allows.
 	over    atomic.Bool
 	outcome effect.Outcome
+	// name is the name that the caller gave the request.
+	name  string
+	began time.Time
 	// recovered is the kept answer that a guard gave when it was asked.
 	recovered *event.Answer
 
@@ -41,6 +44,8 @@
 type attempt struct {
 	cancel context.CancelFunc
 	answer *xchg.Answer
+	// whole is the longest time of the visit until the end of the answer, or 0.
+	whole time.Duration
 	// ended tells that an answer that still comes is not wanted.
 	ended bool
 }
@@ -90,6 +95,8 @@
 // apply carries out one decision and reports whether the caller has been answered.
 func (v *visit) apply(e effect.Effect) bool {
 	switch e := e.(type) {
+	case effect.Survey:
+		v.survey(e)
 	case effect.Forward:
 		v.forward(e)
 	case effect.Ask:
@@ -111,15 +118,16 @@
 
 // forward sends an attempt. An attempt that may be hedged runs beside the visit.
 func (v *visit) forward(e effect.Forward) {
-	if !e.Route.Idempotent && e.Ticket.Guard.Incarnation != 0 {
-		v.announce(e.Ticket)
-	}
 	ctx := v.request.Context()
-	if !e.Route.Idempotent {
+	if !e.Route.Idempotent && !v.front.options.Mute {
+		if e.Ticket.Guard.Incarnation != 0 {
+			v.announce(e.Ticket)
+		}
+		// The caller may ask after the answer once it has gone.
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{cancel: cancel}
+	a := &attempt{cancel: cancel, whole: e.Route.Whole}
 	v.mutex.Lock()
 	v.attempts[e.Ticket] = a
 	hedged := len(v.attempts) > 1 || e.Hedge > 0
@@ -137,6 +145,15 @@
 	}
 }
 
+// survey asks guards for their loads and tells the entry.
+func (v *visit) survey(e effect.Survey) {
+	var loads []event.Loaded
+	if s := v.front.options.Surveyor; s != nil {
+		loads = s.Survey(v.request.Context(), e.Peers)
+	}
+	v.front.loop.Do(event.Surveyed{At: time.Now(), ID: v.id, Loads: loads, Random: rand.Uint64()})
+}
+
 // announce tells the caller the ticket of an attempt before the attempt is sent.
 // An attempt for a life of the guard that is not known is always refused and
 // needs no ticket.
@@ -148,13 +165,16 @@
 // offer returns the attempt that e asks for.
 func (v *visit) offer(e effect.Forward) xchg.Offer {
 	body, length := v.body(e.Route.Body)
+	header := make(http.Header, len(v.request.Header)+1)
+	xchg.CopyHeader(header, v.request.Header)
+	v.front.options.Dialect.Mark(header, v.front.options.Service)
 	return xchg.Offer{
 		Ticket:     e.Ticket,
 		Peer:       e.Peer,
 		Method:     v.request.Method,
 		Target:     v.request.URL.RequestURI(),
 		Host:       v.request.Host,
-		Header:     v.request.Header,
+		Header:     header,
 		Body:       body,
 		Length:     length,
 		Idempotent: e.Route.Idempotent,
@@ -162,6 +182,9 @@
 		Class:      e.Class,
 		Call:       e.Call,
 		Head:       e.Call.Left,
+		Aim:        e.Aim,
+		Inner:      e.Inner,
+		Name:       v.name,
 		Key:        e.Key,
 		First:      e.First,
 		Versions:   e.Versions,
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -39,6 +39,11 @@
 	Transport *turns.Transport
 	// Finish is the time past its deadline for which a non-idempotent request runs on.
 	Finish time.Duration
+	// Dialect is that of the backend server; nil stands for the product's own.
+	Dialect xchg.Dialect
+	// Closing tells that an answer without a length is whole where the backend server
+	// closes the connection in order.
+	Closing bool
 }
 
 // Gate stands between all entries and one backend server.
@@ -55,6 +60,9 @@
 
 // New returns the gate of a backend server.
 func New(l *loop.Loop, o Options) *Gate {
+	if o.Dialect == nil {
+		o.Dialect = xchg.Plain{}
+	}
 	return &Gate{loop: l, options: o, origin: "http://" + o.Server.String()}
 }
 
@@ -90,6 +98,9 @@
 		Rank:       o.Rank,
 		Class:      o.Class,
 		Left:       o.Head,
+		Aim:        o.Aim,
+		Inner:      o.Inner,
+		Name:       o.Name,
 		Key:        o.Key,
 		First:      o.First,
 		Rules:      o.Versions.Rules,
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -20,18 +19,15 @@
 	"bulrushlock/core/report"
 	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
 
 const (
-	// dialTime is the longest time for making a connection to another node.
-	dialTime = 500 * time.Millisecond
 	// idleTime is the time after which a connection that is not used is closed.
 	idleTime = 90 * time.Second
 	// askBody is the size in bytes from which a body is sent only once the guard has asked for it.
 	askBody = 64 << 10
-	// askTime is the longest time that a body waits for the guard to ask for it.
-	askTime = time.Second
 	// idlePerNode is the number of unused connections that are kept to each node.
 	idlePerNode = 64
 )
@@ -39,22 +35,11 @@
 // Link sends attempts to other nodes.
 type Link struct {
 	loop      *loop.Loop
-	transport *http.Transport
+	transport *turns.Transport
 }
 
 var _ xchg.Exchanger = (*Link)(nil)
 
-// dialError is a connection that could not be made.
-type dialError struct {
-	cause error
-}
-
-// Error returns the text of the cause.
-func (e *dialError) Error() string { return e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.cause }
-
 // AnswerError is an answer that is not the answer of a guard to the attempt.
 type AnswerError struct {
 	Status int
@@ -63,29 +48,19 @@
 // Error names the fault.
 func (e *AnswerError) Error() string { return "answer does not belong to the attempt" }
 
-// New returns a link that has no connections yet.
-func New(l *loop.Loop) *Link {
-	d := &net.Dialer{Timeout: dialTime}
-	return &Link{loop: l, transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &dialError{cause: err}
-			}
-			return c, nil
-		},
-		DisableCompression:    true,
-		ExpectContinueTimeout: askTime,
-		IdleConnTimeout:       idleTime,
-		MaxIdleConnsPerHost:   idlePerNode,
-	}}
+// New returns a link that has no connections yet and makes them by d.
+func New(l *loop.Loop, d turns.Dialer) *Link {
+	return &Link{loop: l, transport: turns.New(d, turns.Options{Idle: idlePerNode, Keep: idleTime})}
 }
 
 // Close closes the connections that are not in use.
-func (l *Link) Close() { l.transport.CloseIdleConnections() }
+func (l *Link) Close() { l.transport.Close() }
 
 // Exchange sends o to the guard of another node and waits for the head of its answer.
 func (l *Link) Exchange(ctx context.Context, o xchg.Offer) (xchg.Answer, error) {
+	if !o.Idempotent {
+		ctx = turns.Once(ctx)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	r, err := l.request(ctx, o)
 	if err != nil {
@@ -112,8 +87,8 @@
 
 // failure returns the typed error of an exchange that gave no head.
 func failure(err error, expired bool) error {
-	var dial *dialError
-	if errors.As(err, &dial) {
+	var unsent *turns.UnsentError
+	if errors.As(err, &unsent) {
 		return &xchg.UnsentError{Cause: err}
 	}
 	return &xchg.BrokenError{Cause: err, Expired: expired}
@@ -137,6 +112,7 @@
 		r.Header.Set(xchg.HeaderPrefix+"Key", o.Key)
 	}
 	xchg.SetBody(r, o)
+	xchg.NoAgent(r)
 	if o.Length < 0 || o.Length > askBody {
 		r.Header.Set("Expect", "100-continue")
 	}
@@ -182,8 +158,8 @@
 	l.loop.Do(event.Told{At: time.Now(), Peer: a.Guard.Instance, Control: peer.Control, Versions: a.Versions})
 }
 
-// same reports whether two versions are equal.
-func same(a, b view.Version) bool { return a.Compare(b) == 0 }
+// same reports whether two versions have the same text.
+func same(a, b view.Version) bool { return a.Digest == b.Digest }
 
 // outcomeOf returns the outcome that text names.
 func outcomeOf(text string) (effect.Outcome, bool) {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -28,7 +28,7 @@
 
 const (
 	// tickTime is the time between two Tick events.
-	tickTime = 100 * time.Millisecond
+	tickTime = 50 * time.Millisecond
 	// boxSize is the number of effects that a waiting part may have unread.
 	boxSize = 32
 	// ringSize is the number of events that the time line of a node holds.
@@ -151,7 +151,8 @@
 func (l *Loop) Load() (report.Load, event.Versions) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.node.Load(), l.node.Versions(time.Now())
+	now := time.Now()
+	return l.node.Load(now), l.node.Versions(now)
 }
 
 // dispatch hands out effects. The mutex is held.
@@ -191,6 +192,8 @@
 	switch e := e.(type) {
 	case effect.Forward:
 		return e.ID, true
+	case effect.Survey:
+		return e.ID, true
 	case effect.Relay:
 		return e.ID, true
 	case effect.Reply:
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	p := plat.NewHTTP(address, http.DefaultClient)
-//	d, err := p.Rules(ctx, revision, 20*time.Second)
+//	d, err := p.Rules(ctx, plat.Query{After: revision, Wait: 20 * time.Second})
 //	var unchanged *plat.UnchangedError
 //	if errors.As(err, &unchanged) {
 //		return nil // no higher revision came within the wait
@@ -39,18 +39,31 @@
 	Text     string
 }
 
-// Reader reads what the platform publishes. Each method waits up to wait for a
-// revision above after, and fails with an *UnchangedError when none came.
+// Query tells what is wanted of a read.
+type Query struct {
+	// After is the revision above which a document is wanted.
+	After uint64
+	// Wait is the longest time to wait for such a revision. A platform that cannot
+	// wait answers with the document that it has.
+	Wait time.Duration
+	// Late allows a document that is some seconds old, which costs the platform less.
+	Late bool
+}
+
+// Reader reads what the platform publishes. Each method fails with an
+// *UnchangedError when there is no revision above the one that was asked for.
 type Reader interface {
 	// Rules reads the text of rules.
-	Rules(ctx context.Context, after uint64, wait time.Duration) (Document, error)
+	Rules(ctx context.Context, q Query) (Document, error)
 	// Instances reads the text of the instance list.
-	Instances(ctx context.Context, after uint64, wait time.Duration) (Document, error)
+	Instances(ctx context.Context, q Query) (Document, error)
 }
 
 // UnchangedError tells that the platform has no revision above After.
 type UnchangedError struct {
 	After uint64
+	// Revision is the revision of the platform of which this is true, or 0 where it is not told.
+	Revision uint64
 }
 
 // Error names the revision.
@@ -100,13 +113,13 @@
 }
 
 // Rules reads the text of rules.
-func (h *HTTP) Rules(ctx context.Context, after uint64, wait time.Duration) (Document, error) {
-	return h.read(ctx, "/rules", after, wait)
+func (h *HTTP) Rules(ctx context.Context, q Query) (Document, error) {
+	return h.read(ctx, "/rules", q)
 }
 
 // Instances reads the text of the instance list.
-func (h *HTTP) Instances(ctx context.Context, after uint64, wait time.Duration) (Document, error) {
-	return h.read(ctx, "/instances", after, wait)
+func (h *HTTP) Instances(ctx context.Context, q Query) (Document, error) {
+	return h.read(ctx, "/instances", q)
 }
 
 // ParseInstances reads the text of an instance list. It fails with a *fleet.ParseError.
@@ -119,10 +132,10 @@
 }
 
 // read sends one request and reads its answer.
-func (h *HTTP) read(ctx context.Context, path string, after uint64, wait time.Duration) (Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+grace)
+func (h *HTTP) read(ctx context.Context, path string, q Query) (Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(q.Wait, 0)+grace)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url(path, after, wait), http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url(path, q), http.NoBody)
 	if err != nil {
 		return Document{}, fmt.Errorf("read %s: %w", path, &UnreachableError{Address: h.address, Cause: err})
 	}
@@ -131,7 +144,7 @@
 		return Document{}, fmt.Errorf("read %s: %w", path, &UnreachableError{Address: h.address, Cause: err})
 	}
 	defer func() { _ = a.Body.Close() }()
-	d, err := h.document(a, after)
+	d, err := h.document(a, q.After)
 	if err != nil {
 		return Document{}, fmt.Errorf("read %s: %w", path, err)
 	}
@@ -139,12 +152,12 @@
 }
 
 // url returns the URL of one read.
-func (h *HTTP) url(path string, after uint64, wait time.Duration) string {
-	q := url.Values{"after": {strconv.FormatUint(after, 10)}}
-	if wait > 0 {
-		q.Set("wait", wait.String())
+func (h *HTTP) url(path string, q Query) string {
+	values := url.Values{"after": {strconv.FormatUint(q.After, 10)}}
+	if q.Wait > 0 {
+		values.Set("wait", q.Wait.String())
 	}
-	u := url.URL{Scheme: "http", Host: h.address.String(), Path: path, RawQuery: q.Encode()}
+	u := url.URL{Scheme: "http", Host: h.address.String(), Path: path, RawQuery: values.Encode()}
 	return u.String()
 }
 
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -18,6 +18,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 )
 
 // largest is the largest answer of a health or load endpoint in bytes.
@@ -36,6 +37,8 @@
 	Cold
 	// Draining tells that the backend server takes no new work.
 	Draining
+	// Failing tells that the backend server is unfit or leaves, without saying which.
+	Failing
 )
 
 // states are the words of the health endpoint.
@@ -60,15 +63,24 @@
 	State State
 	// Busy is the number of requests that run; it is 0 when the load was not asked for.
 	Busy int
+	// Queued is the number of requests that wait in the backend server.
+	Queued int
 	// Slots is the number of requests that can run at once; it is 0 when the load was not asked for.
 	Slots int
+	// Slow is the time that work takes now, in percent of the usual, or 0 where it is not told.
+	Slow int
+	// Life names the life of the backend server, or is empty.
+	Life string
+	// ColdLeft is the time for which the backend server stays cold, where it tells that.
+	ColdLeft time.Duration
 }
 
 // Looker looks at one backend server.
 type Looker interface {
-	// Look returns what the backend server says of itself now. It fails with an
+	// Look returns what the backend server says of itself now at the path of its
+	// health endpoint, or at the usual one where path is empty. It fails with an
 	// *UnreachableError or an *AnswerError.
-	Look(ctx context.Context) (Sight, error)
+	Look(ctx context.Context, path string) (Sight, error)
 }
 
 // UnreachableError tells that no whole answer came from the backend server.
@@ -126,9 +138,15 @@
 	return h
 }
 
+// usualPath is the path of the health endpoint where the rules name none.
+const usualPath = "/health"
+
 // Look returns what the backend server says of itself now.
-func (h *HTTP) Look(ctx context.Context) (Sight, error) {
-	state, err := h.health(ctx)
+func (h *HTTP) Look(ctx context.Context, path string) (Sight, error) {
+	if path == "" {
+		path = usualPath
+	}
+	state, err := h.health(ctx, path)
 	if err != nil {
 		return Sight{}, fmt.Errorf("look at health: %w", err)
 	}
@@ -145,11 +163,11 @@
 }
 
 // health reads the health endpoint, which answers 503 while it drains.
-func (h *HTTP) health(ctx context.Context) (State, error) {
+func (h *HTTP) health(ctx context.Context, path string) (State, error) {
 	var answer struct {
 		State string `json:"state"`
 	}
-	status, err := h.read(ctx, "/health", &answer)
+	status, err := h.read(ctx, path, &answer)
 	if err != nil {
 		return Unknown, err
 	}
--- a/io/turns/conn.go
+++ b/io/turns/conn.go
@@ -1,134 +1,233 @@
 package turns
 
 import (
+	"bufio"
+	"errors"
+	"io"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
-// UnsolicitedError is a connection on which something arrived that no request asked for.
-type UnsolicitedError struct{}
+// writeSize is the size in bytes of the buffer through which a request is written.
+const writeSize = 4 << 10
 
-// Error names the fault.
-func (*UnsolicitedError) Error() string { return "answer arrived before its request was sent" }
+// writers holds buffers through which requests are written.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, writeSize) }}
 
-// conn is a connection on which requests take turns.
+// conn is a connection to one server.
 type conn struct {
 	net.Conn
-	raw syscall.RawConn
-
-	mutex   sync.Mutex
-	changed *sync.Cond
-	// reading tells that a call of Read waits for the server.
-	reading bool
-	// unsent tells that a request has its turn and that nothing of it was written.
-	unsent bool
-	closed bool
-	// turn is the number of the present turn.
-	turn uint64
+	address string
+	raw     syscall.RawConn
+	reader  *bufio.Reader
+	// wrote tells that a byte of the present request may have been written.
+	wrote atomic.Bool
+	// touched tells that the body of the present request was read.
+	touched atomic.Bool
+	// writing tells that the body of the present request is still being written.
+	writing atomic.Bool
+	// asked is closed when the server asks for the body, and ended when the exchange is over.
+	asked chan struct{}
+	ended chan struct{}
+	// keep is the time for which the server keeps the connection, or 0 where it does not tell.
+	keep time.Duration
+	// rested is the time since which the connection is not used.
+	rested  time.Time
+	expires time.Time
 }
 
-// newConn returns a connection whose first turn has not begun.
-func newConn(c net.Conn) *conn {
-	w := &conn{Conn: c}
-	w.changed = sync.NewCond(&w.mutex)
-	if s, ok := c.(syscall.Conn); ok {
-		w.raw, _ = s.SyscallConn()
+// newConn returns a connection that has served no request.
+func newConn(n net.Conn, address string) *conn {
+	c := &conn{Conn: n, address: address, reader: newReader(n)}
+	if s, ok := n.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
 	}
-	return w
+	return c
 }
 
-// begin starts the turn of a request and returns its number. It waits until all that was read before
-// is used up: only then does the transport read on, or close the connection.
-func (c *conn) begin() uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for !c.reading && !c.closed {
-		c.changed.Wait()
-	}
-	c.unsent = true
-	c.turn++
-	return c.turn
+// marking notes the first write to a connection.
+type marking struct{ conn *conn }
+
+// Write writes a part of a request.
+func (m marking) Write(b []byte) (int, error) {
+	m.conn.wrote.Store(true)
+	return m.conn.Conn.Write(b)
 }
 
-// abandon ends a turn, unless the connection serves a later one already, and reports whether nothing of its request was or will be written.
-func (c *conn) abandon(turn uint64) bool {
-	c.mutex.Lock()
-	unsent := c.unsent && c.turn == turn
-	c.closed = c.closed || unsent
-	c.mutex.Unlock()
-	if unsent {
-		_ = c.Close()
+// noting is the body of a request, which notes that it was read. A body that the
+// server has to ask for is first read when it has done so, or after a while.
+type noting struct {
+	reader io.Reader
+	conn   *conn
+	writer *bufio.Writer
+	// long tells that nothing of a body was read which is written beside the answer.
+	long  bool
+	asked <-chan struct{}
+	ended <-chan struct{}
+}
+
+// Read reads the body.
+func (n *noting) Read(b []byte) (int, error) {
+	if n.long {
+		// The head goes first, since the body may be long in coming.
+		if err := n.wait(); err != nil {
+			return 0, err
+		}
+		n.long = false
 	}
-	return unsent
+	n.conn.touched.Store(true)
+	return n.reader.Read(b)
 }
 
-// Read reads from the server, and fails where something arrives in the turn of
-// a request that was not written yet.
-func (c *conn) Read(b []byte) (int, error) {
-	c.setReading(true)
-	n, err := c.Conn.Read(b)
-	if c.setReading(false) && n > 0 {
-		return 0, &UnsolicitedError{}
+// Close does nothing: whoever made the body closes it.
+func (*noting) Close() error { return nil }
+
+// wait sends the head of the request and waits until the server asks for the body,
+// where it has to.
+func (n *noting) wait() error {
+	if err := n.writer.Flush(); err != nil || n.asked == nil {
+		return err
+	}
+	t := time.NewTimer(askTime)
+	defer t.Stop()
+	select {
+	case <-n.asked:
+	case <-t.C:
+	case <-n.ended:
+		return net.ErrClosed
 	}
-	return n, err
+	return nil
 }
 
-// setReading notes whether a call of Read waits, and reports whether the request
-// that has its turn was not written yet.
-func (c *conn) setReading(on bool) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.reading = on
-	c.changed.Broadcast()
-	return c.unsent
+// askTime is the longest time that a body waits for the server to ask for it.
+const askTime = time.Second
+
+// write writes r. A long body is written beside the reading of the answer, since
+// the server may answer before it has read the whole of it.
+func (c *conn) write(r *http.Request) error {
+	c.wrote.Store(false)
+	c.touched.Store(false)
+	if r.Body == nil || r.Body == http.NoBody {
+		return c.flush(r, nil)
+	}
+	body := &noting{reader: r.Body, conn: c}
+	if r.Header.Get("Expect") != "" {
+		c.asked = make(chan struct{})
+		body.asked = c.asked
+	}
+	if body.asked == nil && r.ContentLength >= 0 && r.ContentLength <= inlineBody {
+		return c.flush(r, body)
+	}
+	c.writing.Store(true)
+	c.ended = make(chan struct{})
+	body.ended = c.ended
+	body.long = true
+	go func() {
+		err := c.flush(r, body)
+		c.writing.Store(err != nil)
+		if err != nil && !isGone(err) {
+			// The body cannot be read on: without its end the server must not take the request for whole.
+			_ = c.Close()
+		}
+	}()
+	return nil
 }
 
-// Write writes a part of a request.
-func (c *conn) Write(b []byte) (int, error) {
-	if err := c.send(); err != nil {
-		return 0, err
+// proceed lets the body of the present request be sent.
+func (c *conn) proceed() {
+	if c.asked != nil {
+		close(c.asked)
+		c.asked = nil
 	}
-	return c.Conn.Write(b)
 }
 
-// send notes that the request is written from now on. It fails where the
-// connection was given up, or is not empty.
-func (c *conn) send() error {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.closed {
-		return net.ErrClosed
+// finish lets a body that still waits to be asked for end.
+func (c *conn) finish() {
+	if c.ended != nil {
+		close(c.ended)
+		c.ended = nil
 	}
-	if !c.unsent {
-		return nil
+}
+
+// isGone reports whether a write failed since the server reads no more. What it
+// has answered may still be read.
+func isGone(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// plain hides that a buffer can read from a reader by itself, so that it may be
+// flushed while the body is being read.
+type plain struct{ buffer *bufio.Writer }
+
+// Write writes to the buffer.
+func (p plain) Write(b []byte) (int, error) { return p.buffer.Write(b) }
+
+// WriteByte writes to the buffer.
+func (p plain) WriteByte(b byte) error { return p.buffer.WriteByte(b) }
+
+// WriteString writes to the buffer.
+func (p plain) WriteString(s string) (int, error) { return p.buffer.WriteString(s) }
+
+// flush writes the whole of r with the given body, or without one.
+func (c *conn) flush(r *http.Request, body *noting) error {
+	w := writers.Get().(*bufio.Writer)
+	defer func() {
+		w.Reset(io.Discard)
+		writers.Put(w)
+	}()
+	w.Reset(marking{conn: c})
+	sent := *r
+	if body != nil {
+		body.writer = w
+		sent.Body = body
 	}
-	if c.hasArrived() {
-		return &UnsolicitedError{}
+	if err := sent.Write(plain{buffer: w}); err != nil {
+		return err
 	}
-	c.unsent = false
-	return nil
+	return w.Flush()
 }
 
-// hasArrived reports whether the system holds something that was not read yet.
+// isClean reports whether the present exchange has left nothing behind.
+func (c *conn) isClean() bool { return !c.writing.Load() && c.reader.Buffered() == 0 }
+
+// hasArrived reports whether the server has sent something that no request asked
+// for, or has closed the connection.
 func (c *conn) hasArrived() bool {
 	if c.raw == nil {
 		return false
 	}
 	var b [1]byte
-	arrived := false
+	quiet := false
 	err := c.raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		arrived = err == nil && n > 0
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
 	})
-	return err == nil && arrived
+	return err != nil || !quiet
 }
 
-// Close closes the connection.
-func (c *conn) Close() error {
-	c.mutex.Lock()
-	c.closed = true
-	c.changed.Broadcast()
-	c.mutex.Unlock()
-	return c.Conn.Close()
+// keepMargin is taken off the time for which a server says that it keeps a
+// connection, so that no request crosses its close.
+const keepMargin = 500 * time.Millisecond
+
+// keepOf returns the time for which the server keeps the connection after the
+// answer a, or 0 where it does not tell.
+func keepOf(a *http.Response) time.Duration {
+	for _, value := range a.Header["Keep-Alive"] {
+		for part := range strings.SplitSeq(value, ",") {
+			name, number, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if seconds, err := strconv.Atoi(number); err == nil && seconds > 0 {
+				return max(time.Duration(seconds)*time.Second-keepMargin, keepMargin)
+			}
+		}
+	}
+	return 0
 }
--- a/io/xchg/body.go
+++ b/io/xchg/body.go
@@ -40,19 +40,21 @@
 // Close does nothing: whoever made the body closes it.
 func (*onceBody) Close() error { return nil }
 
-// SetBody gives r the body of o. Unless o is idempotent, r has a body even when
-// it is empty: the transport takes a request without a body for one that it may
-// repeat on another connection.
+// SetBody gives r the body of o.
 func SetBody(r *http.Request, o Offer) {
 	r.GetBody = nil
 	r.ContentLength = o.Length
-	switch {
-	case o.Length == 0 && o.Idempotent:
-		r.Body = http.NoBody
-	case o.Body == nil:
-		r.Body = newOnceBody(http.NoBody, 0)
-	default:
-		r.Body = newOnceBody(o.Body, o.Length)
+	if o.Length == 0 || o.Body == nil {
+		r.Body, r.ContentLength = http.NoBody, 0
+		return
+	}
+	r.Body = newOnceBody(o.Body, o.Length)
+}
+
+// NoAgent keeps r from naming an agent that its caller did not name.
+func NoAgent(r *http.Request) {
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = []string{""}
 	}
 }
 
--- a/io/xchg/text.go
+++ b/io/xchg/text.go
@@ -76,37 +76,51 @@
 
 // AttemptText returns the form of the fields of o that travel in one header.
 func AttemptText(o Offer) string {
-	idempotent := "no"
-	if o.Idempotent {
-		idempotent = "yes"
-	}
-	first := "no"
-	if o.First {
-		first = "yes"
+	b := make([]byte, 0, 64)
+	b = append(b, yesNo(o.Idempotent)...)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, int64(o.Rank), 10)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, int64(o.Class), 10)
+	b = append(b, '/')
+	b = append(b, yesNo(o.First)...)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, o.Head.Microseconds(), 10)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, o.Aim.Microseconds(), 10)
+	b = append(b, '/')
+	b = append(b, yesNo(o.Inner)...)
+	return string(b)
+}
+
+// yesNo returns the word for b.
+func yesNo(b bool) string {
+	if b {
+		return "yes"
 	}
-	return fmt.Sprintf("%s/%d/%d/%s/%d", idempotent, o.Rank, o.Class, first, o.Head.Microseconds())
+	return "no"
 }
 
 // ParseAttempt reads into o a text that AttemptText made. It fails with a *TextError.
 func ParseAttempt(text string, o *Offer) error {
 	fail := &TextError{Name: HeaderAttempt, Text: text}
 	parts := strings.Split(text, "/")
-	if len(parts) != 5 {
-		return fail
-	}
-	var err error
-	if o.Rank, err = strconv.Atoi(parts[1]); err != nil {
+	if len(parts) != 7 {
 		return fail
 	}
-	if o.Class, err = strconv.Atoi(parts[2]); err != nil {
-		return fail
-	}
-	micros, err := strconv.ParseInt(parts[4], 10, 64)
-	if err != nil {
-		return fail
+	var numbers [4]int64
+	for i, at := range []int{1, 2, 4, 5} {
+		n, err := strconv.ParseInt(parts[at], 10, 64)
+		if err != nil {
+			return fail
+		}
+		numbers[i] = n
 	}
+	o.Rank, o.Class = int(numbers[0]), int(numbers[1])
+	o.Head = time.Duration(numbers[2]) * time.Microsecond
+	o.Aim = time.Duration(numbers[3]) * time.Microsecond
 	o.Idempotent = parts[0] == "yes"
 	o.First = parts[3] == "yes"
-	o.Head = time.Duration(micros) * time.Microsecond
+	o.Inner = parts[6] == "yes"
 	return nil
 }
--- a/io/xchg/xchg.go
+++ b/io/xchg/xchg.go
@@ -47,7 +47,13 @@
 	Class      int
 	Call       depth.Call
 	// Head is the longest time until the head of the answer.
-	Head     time.Duration
+	Head time.Duration
+	// Aim is the time in which the answer is still of full use; 0 where none is named.
+	Aim time.Duration
+	// Inner tells that a running request waits for this one.
+	Inner bool
+	// Name is the name that the caller gave the request, or empty.
+	Name     string
 	Key      string
 	First    bool
 	Versions event.Versions
