feat(core): let attempts wait by the time that their answers are due

Ruled out: too few guards asked; 3 of 6 see the free slots. Change: core/line orders waiting attempts by rank and due time, and lets those that would be late give way at once; core/usual learns how long work takes apart from slow stretches; core/span tells how long a caller has waited who comes back; refused callers are spread over the last half of a third of their time.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -57,19 +57,27 @@
 		return n.forward(e.At, e.Random, c, effect.ReasonServer, out)
 	}
 	n.learnDelay(c.class, e.Spent)
+	n.learnUsual(c, e)
 	out = n.cancelAll(c, out)
 	delete(n.calls, c.id)
 	return append(out, effect.Relay{ID: c.id, Ticket: e.Ticket})
 }
 
+// learnUsual takes in how long the work of c took on its backend server.
+func (n *Entry) learnUsual(c *call, e event.Answered) {
+	if e.Status < statusServerError && e.Load != nil {
+		n.usual.Learn(c.class, e.Spent, e.Load.Slow)
+	}
+}
+
 // running goes on after the guard has said that the request runs: under the
 // ticket of the attempt, or for an earlier sending of its key.
 func (n *Entry) running(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
 	if effect.Reason(e.Reason) == effect.ReasonKey {
 		c.last = nil
-		return n.reply(c, effect.Running, effect.ReasonKey, out)
+		return n.reply(e.At, c, effect.Running, effect.ReasonKey, out)
 	}
-	return n.ask(c, askPause, out)
+	return n.ask(e.At, c, askPause, out)
 }
 
 // mayRepeat reports whether c may be sent once more although an attempt of it
@@ -131,14 +139,14 @@
 		return n.forward(e.At, e.Random, c, reason, out)
 	}
 	c.cleared = e.Verdict == event.NotRun && reason != effect.ReasonLife && reason != effect.ReasonAddress
-	return n.reply(c, effect.NotRun, reason, out)
+	return n.reply(e.At, c, effect.NotRun, reason, out)
 }
 
 // follow sends c once more to the guard that has refused it for another life.
 func (n *Entry) follow(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
 	p, ok := n.peers[e.Ticket.Guard.Instance]
 	if !ok {
-		return n.reply(c, effect.NotRun, effect.ReasonLife, out)
+		return n.reply(e.At, c, effect.NotRun, effect.ReasonLife, out)
 	}
 	c.lives++
 	return n.send(e.At, e.Random, c, p, out)
@@ -151,12 +159,12 @@
 		return out
 	}
 	if !c.route.Idempotent && e.Verdict != event.Unknown {
-		return n.ask(c, 0, out)
+		return n.ask(e.At, c, 0, out)
 	}
 	if e.Verdict != event.Expired && n.mayRepeat(c, e.At) {
 		return n.forward(e.At, e.Random, c, effect.ReasonBroken, out)
 	}
-	return n.reply(c, effect.Unknown, reasonOf(e), out)
+	return n.reply(e.At, c, effect.Unknown, reasonOf(e), out)
 }
 
 // reasonOf returns the reason that a caller is given for an exchange that broke.
@@ -183,17 +191,17 @@
 		return n.voided(c, e, out)
 	case event.Running:
 		if e.At.Before(c.deadline) {
-			return n.ask(c, askPause, out)
+			return n.ask(e.At, c, askPause, out)
 		}
-		return n.reply(c, effect.Running, effect.ReasonDeadline, out)
+		return n.reply(e.At, c, effect.Running, effect.ReasonDeadline, out)
 	case event.Broken, event.Unsent, event.Expired:
 		if c.asks < mostAsks && e.At.Before(c.deadline.Add(askGrace)) {
-			return n.ask(c, askPause, out)
+			return n.ask(e.At, c, askPause, out)
 		}
 	case event.Unknown:
-		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
+		return n.reply(e.At, c, effect.Unknown, effect.ReasonLost, out)
 	}
-	return n.reply(c, effect.Unknown, effect.ReasonBroken, out)
+	return n.reply(e.At, c, effect.Unknown, effect.ReasonBroken, out)
 }
 
 // voided goes on after a guard has said that the last attempt of c did not run.
@@ -201,17 +209,17 @@
 	if !c.recovers && n.mayRetry(c, e.At) {
 		return n.forward(e.At, e.Random, c, effect.ReasonVoid, out)
 	}
-	return n.reply(c, effect.NotRun, effect.ReasonVoid, out)
+	return n.reply(e.At, c, effect.NotRun, effect.ReasonVoid, out)
 }
 
 // ranBefore gives the kept answer of an attempt to the caller, if it is still there.
 func (n *Entry) ranBefore(c *call, e event.Judged, out []effect.Effect) []effect.Effect {
 	if !e.Kept {
-		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
+		return n.reply(e.At, c, effect.Unknown, effect.ReasonLost, out)
 	}
 	p, ok := n.peers[c.last.Guard.Instance]
 	if !ok {
-		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
+		return n.reply(e.At, c, effect.Unknown, effect.ReasonLost, out)
 	}
 	delete(n.calls, c.id)
 	return append(out, effect.Recover{ID: c.id, Ticket: e.Ticket, Peer: p.instance})
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -23,6 +23,10 @@
 	// began is the time at which the request came in.
 	began time.Time
 	route rules.Route
+	// given is the time that the caller gave the request, or 0 where it told none.
+	given time.Duration
+	// waited is the time that the caller has waited already when the request came in.
+	waited time.Duration
 	// service is the service of the route that runs the request.
 	service string
 	// asking tells that guards are being asked for their loads.
@@ -95,30 +99,31 @@
 
 // Request starts to follow a caller's request.
 func (n *Entry) Request(e event.Request, out []effect.Effect) []effect.Effect {
-	c := &call{id: e.ID, name: e.Name, began: e.At, key: e.Key, first: e.First, once: e.Once, last: e.Ticket, recovers: e.Ticket != nil}
+	c := &call{id: e.ID, name: e.Name, began: e.At, given: e.Call.Left, key: e.Key, first: e.First, once: e.Once, last: e.Ticket, recovers: e.Ticket != nil}
 	if n.set == nil {
-		return n.reply(c, effect.NotRun, effect.ReasonRules, out)
+		return n.reply(e.At, c, effect.NotRun, effect.ReasonRules, out)
 	}
 	r, ok := n.set.Route(e.Method, e.Host, e.Path)
 	if !ok {
-		return n.reply(c, effect.NotRun, effect.ReasonRoute, out)
+		return n.reply(e.At, c, effect.NotRun, effect.ReasonRoute, out)
 	}
 	c.route = r
 	c.class = n.classes[route{host: r.Host, method: r.Method, path: r.Path}]
 	c.service = n.serviceOf(c, e.Random)
+	c.waited = n.waitedOf(c, e)
 	if e.Size > r.Body {
-		return n.reply(c, effect.NotRun, effect.ReasonBody, out)
+		return n.reply(e.At, c, effect.NotRun, effect.ReasonBody, out)
 	}
 	limits, err := depth.Enter(e.Call, r.Time)
 	if err != nil {
-		return n.reply(c, effect.NotRun, reasonOfLimits(err), out)
+		return n.reply(e.At, c, effect.NotRun, reasonOfLimits(err), out)
 	}
 	c.depth = limits
 	c.deadline = e.At.Add(limits.Left)
 	n.calls[c.id] = c
 	// A guard keeps no record of idempotent attempts, so these are sent once more.
 	if c.recovers && !r.Idempotent {
-		return n.ask(c, 0, out)
+		return n.ask(e.At, c, 0, out)
 	}
 	n.retries.Deposit()
 	n.hedges.Deposit()
@@ -179,7 +184,7 @@
 func (n *Entry) forward(now time.Time, random uint64, c *call, reason effect.Reason, out []effect.Effect) []effect.Effect {
 	p := n.choose(now, random, c)
 	if p == nil {
-		return n.reply(c, effect.NotRun, reason, out)
+		return n.reply(now, c, effect.NotRun, reason, out)
 	}
 	return n.send(now, random, c, p, out)
 }
@@ -223,10 +228,10 @@
 }
 
 // ask asks the guard of the last attempt of c what became of it.
-func (n *Entry) ask(c *call, wait time.Duration, out []effect.Effect) []effect.Effect {
+func (n *Entry) ask(now time.Time, c *call, wait time.Duration, out []effect.Effect) []effect.Effect {
 	p, ok := n.peers[c.last.Guard.Instance]
 	if !ok {
-		return n.reply(c, effect.Unknown, effect.ReasonLost, out)
+		return n.reply(now, c, effect.Unknown, effect.ReasonLost, out)
 	}
 	c.asks++
 	return append(out, effect.Ask{ID: c.id, Ticket: *c.last, Peer: p.instance, Key: c.key, Void: !c.recovers, Wait: wait})
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -10,8 +10,11 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlock/core/budget"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
@@ -19,7 +22,9 @@
 	"bulrushlock/core/pick"
 	"bulrushlock/core/rules"
 	"bulrushlock/core/share"
+	"bulrushlock/core/span"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/usual"
 )
 
 const (
@@ -61,6 +66,12 @@
 	eligible []*peer
 	// shares spread the requests of routes that have several services.
 	shares map[int]*share.Share
+	// usual is the time that the work of a class takes.
+	usual *usual.Usual
+	// refusals counts the requests that were not run.
+	refusals uint64
+	// spans learn the time that callers of a class give their requests.
+	spans map[int]*span.Span
 }
 
 // route is the part of a rule that names a class of requests.
@@ -84,6 +95,8 @@
 		hedges:   budget.New(0, 1),
 		delays:   make(map[int]*delay),
 		shares:   make(map[int]*share.Share),
+		spans:    make(map[int]*span.Span),
+		usual:    usual.New(),
 	}
 }
 
@@ -105,14 +118,25 @@
 func (n *Entry) applyRoutes(s *rules.Set) {
 	clear(n.classes)
 	clear(n.delays)
-	for i, r := range s.Routes {
-		n.classes[route{host: r.Host, method: r.Method, path: r.Path}] = i
+	for _, r := range s.Routes {
+		n.classes[route{host: r.Host, method: r.Method, path: r.Path}] = classOf(r)
 	}
 	clear(n.shares)
+	alive := make(map[int]bool, len(n.classes))
+	for _, class := range n.classes {
+		alive[class] = true
+	}
+	maps.DeleteFunc(n.spans, func(class int, _ *span.Span) bool { return !alive[class] })
 	n.retries.SetShare(s.Budget.Retry)
 	n.hedges.SetShare(s.Budget.Hedge)
 }
 
+// classOf returns the class of the requests of r, which is the same on every node
+// and stays the same while other rules change.
+func classOf(r rules.Route) int {
+	return int(xxhash.Sum64String(r.Method+" "+r.Host+" "+r.Path) >> 2)
+}
+
 // applyPeers keeps what is known of the peers that are still listed.
 func (n *Entry) applyPeers(instances []fleet.Instance) {
 	peers := make(map[string]*peer, len(instances))
@@ -171,7 +195,9 @@
 			continue
 		}
 		n.eligible = append(n.eligible, p)
-		n.scratch = append(n.scratch, p.candidate(n.identity.Node, n.identity.Centre))
+		k := p.candidate(n.identity.Node, n.identity.Centre)
+		k.Usual = n.usualOf(c)
+		n.scratch = append(n.scratch, k)
 	}
 	if i, ok := n.asked.Pick(now, random, n.scratch); ok && n.identity.Ask > 0 {
 		return n.eligible[i]
@@ -184,7 +210,7 @@
 }
 
 // reply settles c without an answer of a backend server.
-func (n *Entry) reply(c *call, o effect.Outcome, r effect.Reason, out []effect.Effect) []effect.Effect {
+func (n *Entry) reply(now time.Time, c *call, o effect.Outcome, r effect.Reason, out []effect.Effect) []effect.Effect {
 	if o == effect.NotRun && c.mayHaveRun() {
 		o = effect.Unknown
 	}
@@ -194,5 +220,5 @@
 	if o == effect.Unknown {
 		out = append(out, effect.Note{Kind: effect.KindUnknown, Text: string(r), Ticket: t})
 	}
-	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(c, r)})
+	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(now, c, r)})
 }
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -48,6 +48,7 @@
 		Slow:        p.load.Slow,
 		Ill:         p.load.Ill,
 		Sent:        p.sent,
+		Wait:        p.load.Wait,
 		Latency:     p.latency,
 	}
 }
--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -6,6 +6,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
+	"bulrushlock/core/span"
 )
 
 // freshTime is the age up to which a reported load is as good as one that is asked for.
@@ -56,20 +57,72 @@
 	if c.route.Aim == 0 {
 		return 0
 	}
-	return max(c.route.Aim-now.Sub(c.began), 1)
+	return max(c.route.Aim-c.waited-now.Sub(c.began), 1)
+}
+
+// waitedOf returns the time that the caller of c has waited already, which is known
+// where its rule names an aim and the caller tells the time that it still waits.
+func (n *Entry) waitedOf(c *call, e event.Request) time.Duration {
+	if c.route.Aim == 0 || e.Call.Left == 0 {
+		return 0
+	}
+	s, ok := n.spans[c.class]
+	if !ok {
+		s = span.New()
+		n.spans[c.class] = s
+	}
+	return s.Waited(e.At, e.Call.Left)
 }
 
 // isInner reports whether a running request waits for c.
 func (c *call) isInner() bool { return c.depth.Depth > 1 }
 
-// retryLeast and retryMost bound the time after which a caller is asked to come back.
+// usualOf returns the time that c takes on a backend server that works as usual, or
+// a share of its aim where nothing is known.
+func (n *Entry) usualOf(c *call) time.Duration {
+	if d, ok := n.usual.Takes(c.class, 0); ok {
+		return d
+	}
+	return c.route.Aim / 3
+}
+
 const (
-	retryLeast = 200 * time.Millisecond
-	retryMost  = 700 * time.Millisecond
+	// retryShare is the share of the time that a caller still has after which it is
+	// asked to come back at the latest, so that it can do so more than once.
+	retryShare = 0.33
+	// retrySpread is the part of that time over which callers are spread that were
+	// turned away together.
+	retrySpread = 0.5
+	// soonLeast and soonMost bound the time after which a caller may come back to a
+	// node that has no backend server to offer yet.
+	soonLeast = 100 * time.Millisecond
+	soonMost  = 400 * time.Millisecond
 )
 
-// retryAfter returns the time after which the caller of c may try again.
-func (n *Entry) retryAfter(c *call, _ effect.Reason) time.Duration {
-	spread := time.Duration(n.sequence*7919+c.id*104729) % (retryMost - retryLeast)
-	return retryLeast + spread
+// retryAfter returns the time after which the caller of c may try again. At full
+// load that is late, since room comes when the load has passed, and who comes back
+// at once only takes it from others.
+func (n *Entry) retryAfter(now time.Time, c *call, r effect.Reason) time.Duration {
+	n.refusals++
+	turn := float64(n.refusals*spreadStep%spreadSteps) / spreadSteps
+	if r != effect.ReasonBusy && r != effect.ReasonShed && r != effect.ReasonDeadline {
+		return soonLeast + time.Duration(turn*float64(soonMost-soonLeast))
+	}
+	left := max(c.deadlineLeft(now), 0)
+	most := retryShare * float64(left)
+	return time.Duration(most * (1 - retrySpread + retrySpread*turn))
+}
+
+// spreadStep and spreadSteps spread successive refusals evenly over a time.
+const (
+	spreadStep  = 61
+	spreadSteps = 100
+)
+
+// deadlineLeft returns the time that the caller of c still waits.
+func (c *call) deadlineLeft(now time.Time) time.Duration {
+	if c.given == 0 {
+		return c.deadline.Sub(now)
+	}
+	return c.given - now.Sub(c.began)
 }
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -122,6 +122,9 @@
 	if g.hasRoom(e) && g.mayStart(e.At) {
 		return g.run(e, out)
 	}
+	if e.Aim > 0 {
+		return g.queue(e, out)
+	}
 	if !e.Idempotent {
 		g.begin(e)
 	}
@@ -141,7 +144,13 @@
 	if !e.Idempotent {
 		g.begin(e)
 	}
-	g.busy[e.Arrival] = work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class}
+	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, slow: g.sight.Slow}
+	w.short = e.Inner || g.usual.IsShort(e.Class)
+	if w.short {
+		g.short++
+	}
+	g.countShort()
+	g.busy[e.Arrival] = w
 	return append(out, effect.Admit{
 		Arrival: e.Arrival, Ticket: e.Ticket, Shed: g.limits.Shed, Life: g.listed.Life, Left: e.Left,
 	})
@@ -172,6 +181,7 @@
 
 // grant runs waiting attempts while the bound allows.
 func (g *Guard) grant(at time.Time, out []effect.Effect) []effect.Effect {
+	out = g.grantLine(at, out)
 	for {
 		arrival, ok := g.waiting.Peek()
 		if !ok {
@@ -182,14 +192,7 @@
 			return out
 		}
 		g.waiting.Remove(arrival)
-		delete(g.waiters, arrival)
-		e.Left -= at.Sub(e.At)
-		e.At = at
-		if e.Left <= 0 {
-			out = g.refuse(e, effect.ReasonDeadline, out)
-			continue
-		}
-		out = g.run(e, out)
+		out = g.runWaiter(at, e, out)
 	}
 }
 
@@ -209,7 +212,7 @@
 // takeOut refuses the attempt of the given arrival if it still waits here: for
 // reason waiting where it waits for a slot, for reason held where it waits for a view.
 func (g *Guard) takeOut(arrival uint64, waiting, held effect.Reason, out []effect.Effect) []effect.Effect {
-	if g.waiting.Remove(arrival) {
+	if g.waiting.Remove(arrival) || g.line.Remove(arrival) {
 		return g.refuse(g.waiters[arrival], waiting, out)
 	}
 	for i, e := range g.held {
@@ -229,9 +232,14 @@
 	}
 	inFlight := len(g.busy)
 	delete(g.busy, e.Arrival)
+	if w.short {
+		g.short--
+	}
+	g.countShort()
 	g.see(e.At, e.Sight)
 	if e.Failure == event.None && e.Status < statusServerError {
 		g.served = e.At
+		g.usual.Learn(w.class, e.Spent, w.slow)
 	}
 	g.record(w, e)
 	out = g.learn(w, e, inFlight, out)
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -17,12 +17,14 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/ledger"
 	"bulrushlock/core/limit"
+	"bulrushlock/core/line"
 	"bulrushlock/core/pace"
 	"bulrushlock/core/queue"
 	"bulrushlock/core/ramp"
 	"bulrushlock/core/report"
 	"bulrushlock/core/rules"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/usual"
 )
 
 const (
@@ -73,6 +75,14 @@
 	busy     map[uint64]work
 	waiting  *queue.Queue[uint64]
 	waiters  map[uint64]event.Attempt
+	// line holds the waiting attempts whose answers are due at a time.
+	line *line.Line[uint64]
+	// usual is the time that work takes.
+	usual *usual.Usual
+	// short is the number of running attempts whose work is short, and shorts its
+	// moving mean.
+	short    int
+	shorts   float64
 	held     []event.Attempt
 	cold     bool
 	leaving  bool
@@ -102,6 +112,10 @@
 	ticket     ticket.Ticket
 	idempotent bool
 	class      int
+	// slow is the slowness of the backend server when the work began, in percent.
+	slow int
+	// short tells that the work was counted as short.
+	short bool
 }
 
 // New returns the guard of a backend server that is in cold start.
@@ -117,6 +131,8 @@
 		waiters:  make(map[uint64]event.Attempt),
 		cold:     true,
 		pace:     pace.New(),
+		line:     line.New[uint64](0),
+		usual:    usual.New(),
 	}
 }
 
@@ -143,6 +159,7 @@
 	slots := g.slots()
 	g.ramp.Resize(g.limits.Cold, slots, g.limits.Warm)
 	g.limit.Resize(slots)
+	g.line.Resize(lineShare * slots)
 	g.waiting.Resize(slots)
 	if g.limits.Queue == 0 {
 		g.waiting.Resize(0)
@@ -164,7 +181,8 @@
 func (g *Guard) Load(now time.Time) report.Load {
 	return report.Load{
 		InFlight: len(g.busy) + g.foreign,
-		Queued:   g.waiting.Len(),
+		Queued:   g.waiting.Len() + g.line.Len(),
+		Wait:     g.wait(now),
 		Limit:    g.bound(),
 		Slow:     g.sight.Slow,
 		Cold:     g.isCold(now),
@@ -221,19 +239,25 @@
 // it where it does.
 func (g *Guard) mayStart(now time.Time) bool { return !g.isPaced() || g.pace.Take(now) }
 
-// hasRoom reports whether e may run now. A call of a running request may take one
-// of the last slots, since the request that waits for it holds another.
+// hasRoom reports whether e may run now. Short work and calls of running requests may
+// take the last slots, and are left room by the rest: what waits for them holds a slot
+// elsewhere.
 func (g *Guard) hasRoom(e event.Attempt) bool {
 	bound := g.bound()
-	if e.Inner && g.isPaced() && bound > 0 {
-		bound = max(g.slots(), 1)
+	running := len(g.busy) + g.foreign
+	if !g.isPaced() || bound == 0 {
+		return running < bound
 	}
-	return len(g.busy)+g.foreign < bound
+	if e.Inner || g.usual.IsShort(e.Class) {
+		return running < max(g.slots(), 1)
+	}
+	kept := max(0, int(g.shorts+shortRounding)-g.short)
+	return running+kept < bound
 }
 
 // Idle reports whether no attempt runs or waits here.
 func (g *Guard) Idle() bool {
-	return len(g.busy) == 0 && g.waiting.Len() == 0 && len(g.held) == 0
+	return len(g.busy) == 0 && g.waiting.Len() == 0 && g.line.Len() == 0 && len(g.held) == 0
 }
 
 // Leaving reports whether this guard takes no new work for good.
@@ -262,6 +286,14 @@
 		}
 		out = g.refuse(g.waiters[arrival], r, out)
 	}
+	for {
+		arrival, ok := g.line.Next(time.Time{})
+		if !ok {
+			break
+		}
+		g.line.Remove(arrival)
+		out = g.refuse(g.waiters[arrival], r, out)
+	}
 	for _, e := range g.held {
 		out = g.refuse(e, r, out)
 	}
--- /dev/null
+++ b/core/guard/wait.go
@@ -0,0 +1,120 @@
+package guard
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/line"
+)
+
+const (
+	// lineShare is the number of waiting attempts for each slot. More could not be in
+	// time whatever their order.
+	lineShare = 2
+	// lateShare is the share of its aim for which an attempt may wait that can no
+	// longer be in time: it gets room that nobody else can use.
+	lateShare = 0.125
+	// waitMargin is the factor on the expected time of work by which it has to fit
+	// into the time that is left, as half of all work takes longer than expected.
+	waitMargin = 1.25
+	// endMargin is that factor for the end of the caller's time.
+	endMargin = 1.0
+	// shortRounding is the share of a slot from which one is kept for short work.
+	shortRounding = 0.5
+	// shortWeight is the weight of a new count of short work in its moving mean.
+	shortWeight = 0.05
+	// usualSlow is the slowness of a backend server that works as usual, in percent.
+	usualSlow = 100
+)
+
+// takes returns the time that e is expected to take if it begins now. Where nothing
+// is known of its class that is a share of its aim.
+func (g *Guard) takes(e event.Attempt) time.Duration {
+	if d, ok := g.usual.Takes(e.Class, g.sight.Slow); ok {
+		return d
+	}
+	return e.Aim / 3
+}
+
+// wait returns the time after which one more attempt is expected to begin.
+func (g *Guard) wait(now time.Time) time.Duration {
+	bound := g.bound()
+	if bound == 0 {
+		return 0
+	}
+	if len(g.busy)+g.foreign < bound && g.line.Len() == 0 {
+		return 0
+	}
+	return g.waitBehind(g.line.Len(), bound)
+}
+
+// waitBehind returns the time after which an attempt is expected to begin that has
+// others ahead of it while all of the bound run.
+func (g *Guard) waitBehind(ahead, bound int) time.Duration {
+	return g.usual.Mean(g.sight.Slow) * time.Duration(ahead+1) / time.Duration(bound)
+}
+
+// queue lets e wait until its answer would be late, or refuses it at once where it
+// would be late in any case.
+func (g *Guard) queue(e event.Attempt, out []effect.Effect) []effect.Effect {
+	bound := g.bound()
+	if bound == 0 {
+		return g.refuse(e, effect.ReasonBusy, out)
+	}
+	takes := g.takes(e)
+	due := e.At.Add(e.Aim)
+	fits := time.Duration(waitMargin * float64(takes))
+	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: takes, End: due.Add(-fits)}
+	begins := e.At.Add(g.waitBehind(g.line.Ahead(e.Rank, due), bound))
+	if begins.After(i.End) {
+		i.End = e.At.Add(time.Duration(lateShare * float64(e.Aim)))
+	}
+	if last := e.At.Add(e.Left - time.Duration(endMargin*float64(takes))); i.End.After(last) {
+		i.End = last
+	}
+	if !e.At.Before(i.End) || !g.line.Push(i) {
+		return g.refuse(e, effect.ReasonBusy, out)
+	}
+	if !e.Idempotent {
+		g.begin(e)
+	}
+	g.waiters[e.Arrival] = e
+	return append(out, effect.Wait{Arrival: e.Arrival, Longest: i.End.Sub(e.At)})
+}
+
+// grantLine runs attempts of the line while there is room.
+func (g *Guard) grantLine(at time.Time, out []effect.Effect) []effect.Effect {
+	for _, arrival := range g.line.Late(at) {
+		out = g.refuse(g.waiters[arrival], effect.ReasonBusy, out)
+	}
+	for {
+		arrival, ok := g.line.Next(at)
+		if !ok {
+			return out
+		}
+		e := g.waiters[arrival]
+		if !g.hasRoom(e) || !g.mayStart(at) {
+			return out
+		}
+		g.line.Remove(arrival)
+		out = g.runWaiter(at, e, out)
+	}
+}
+
+// runWaiter runs an attempt that has waited.
+func (g *Guard) runWaiter(at time.Time, e event.Attempt, out []effect.Effect) []effect.Effect {
+	delete(g.waiters, e.Arrival)
+	waited := at.Sub(e.At)
+	e.Left -= waited
+	e.At = at
+	if e.Left <= 0 {
+		return g.refuse(e, effect.ReasonDeadline, out)
+	}
+	return g.run(e, out)
+}
+
+// countShort takes the present number of running attempts of short work into its mean.
+func (g *Guard) countShort() {
+	g.shorts += shortWeight * (float64(g.short) - g.shorts)
+}
--- a/core/pick/fresh.go
+++ b/core/pick/fresh.go
@@ -11,8 +11,12 @@
 	farCost = 0.15
 	// illCost is the factor on the time of a backend server that calls itself unfit.
 	illCost = 4.0
-	// queueCost is the further time of a request that has to wait, in times of a usual request.
-	queueCost = 1.0
+	// slowCost is the share of a slow stretch's slowness that a request has to expect
+	// which begins within it.
+	slowCost = 0.6
+	// loadCost is the further time on a backend server that runs all it may, as a
+	// share: what runs there may turn slow together.
+	loadCost = 0.5
 )
 
 // Fresh is the policy for candidates that were just asked for their load. It takes
@@ -53,10 +57,13 @@
 func (c *Candidate) expected(now time.Time) float64 {
 	slow := float64(max(c.Slow, usualSlow)) / usualSlow
 	limit := float64(max(c.Limit, 1))
-	running := float64(c.InFlight + c.Queued + c.Sent)
-	t := slow * (1 + running/limit)
+	running := float64(c.InFlight + c.Sent)
+	t := (1 + slowCost*(slow-1)) * (1 + loadCost*running/limit)
 	if running >= limit {
-		t += slow * queueCost * (running + 1 - limit) / limit
+		t += (running + 1 - limit) / limit
+	}
+	if c.Usual > 0 {
+		t += float64(c.Wait) / float64(c.Usual)
 	}
 	if !c.Near && !c.Beside {
 		t += farCost
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -46,6 +46,11 @@
 	Ill bool
 	// Sent is the number of requests that the entry has sent since the report.
 	Sent int
+	// Wait is the reported time after which one more request would begin.
+	Wait time.Duration
+	// Usual is the time that the request takes on a backend server that works as
+	// usual, or 0 where it is not known.
+	Usual time.Duration
 	// Latency is the recent latency of good answers to requests of like cost, or
 	// zero if there is none.
 	Latency time.Duration
--- a/core/report/load.go
+++ b/core/report/load.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Load is what a guard tells of its backend server.
@@ -20,6 +21,9 @@
 	Queued int
 	// Limit is the number of requests that the guard admits at once now.
 	Limit int
+	// Wait is the time after which one more request is expected to begin. It does not
+	// travel in the text form.
+	Wait time.Duration
 	// Slow is the time that work takes now, in percent of the usual; 0 stands for
 	// a backend server that does not tell.
 	Slow int
--- a/io/gram/message.go
+++ b/io/gram/message.go
@@ -68,7 +68,7 @@
 	b = binary.BigEndian.AppendUint64(b, m.From.Incarnation)
 	if m.Kind == kindLoad {
 		l := m.Load
-		for _, n := range []int{l.InFlight, l.Queued, l.Limit, l.Slow} {
+		for _, n := range []int{l.InFlight, l.Queued, l.Limit, l.Slow, int(l.Wait.Microseconds())} {
 			b = binary.AppendUvarint(b, uint64(max(n, 0)))
 		}
 		return append(b, marksOf(l))
@@ -160,6 +160,7 @@
 	case kindAsk:
 	case kindLoad:
 		m.Load = report.Load{InFlight: r.count(), Queued: r.count(), Limit: r.count(), Slow: r.count()}
+		m.Load.Wait = time.Duration(r.count()) * time.Microsecond
 		marks := r.take(1)[0]
 		m.Load.Cold = marks&markCold != 0
 		m.Load.Ill = marks&markIll != 0
