feat(core): hedge at the last useful moment, and let one node read the platform

Change: an idempotent request gets a second attempt just before it would be late, where a surveyed backend server has room and is fast; a held call confirms the time at which it was let go.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -51,6 +51,11 @@
 // ran settles c with the answer of a backend server, or tries once more where a
 // failed idempotent request may be repeated.
 func (n *Entry) ran(c *call, e event.Answered, out []effect.Effect) []effect.Effect {
+	if e.Status >= statusServerError && c.route.Idempotent && len(c.active) > 0 {
+		// The other attempt may still be answered well.
+		c.unsure = true
+		return append(out, effect.Cancel{ID: c.id, Ticket: e.Ticket})
+	}
 	if e.Status >= statusServerError && n.mayRepeat(c, e.At) {
 		c.unsure = true
 		out = append(out, effect.Cancel{ID: c.id, Ticket: e.Ticket})
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -221,7 +221,7 @@
 		First:    c.first,
 		Versions: n.versions,
 		Local:    p.instance.Name == n.identity.Node.Instance,
-		Hedge:    n.hedgeDelay(c),
+		Hedge:    n.hedgeDelay(now, c),
 		Aim:      c.aimLeft(now),
 		Inner:    c.isInner(),
 	})
--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -27,6 +27,9 @@
 			if len(asked) == n.identity.Ask {
 				return asked
 			}
+			if c.hasTried(p.instance.Name) {
+				continue
+			}
 			if (p.instance.Centre == n.identity.Centre) != near || p.instance.Name == n.identity.Node.Instance || p.isLeaving(now) {
 				continue
 			}
@@ -48,6 +51,9 @@
 		return out
 	}
 	c.asking = false
+	if len(c.active) > 0 {
+		return n.hedge(e.At, e.Random, c, out)
+	}
 	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
 }
 
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -31,16 +31,20 @@
 	roundTime = time.Second
 	// watchTime is the time that a reader lets the platform hold a call. A change
 	// that is missed by a reader that has just gone waits that much longer.
-	watchTime = 600 * time.Millisecond
+	watchTime = 800 * time.Millisecond
 	// readTime is the age of a document from which it is read again.
-	readTime = 600 * time.Millisecond
+	readTime = 800 * time.Millisecond
 	// turnTime is the further age from which each next node reads a document that
 	// the ones before it should have read. It covers the call and the word to all.
 	turnTime = 200 * time.Millisecond
 	// retryTime is the least mean time after which a failed read is tried again.
 	retryTime = time.Second
-	// castTime is the least time between two messages to all while nothing changes.
-	castTime = 300 * time.Millisecond
+	// castTime is the least time between two messages to all while nothing changes. It
+	// is shorter than turnTime, so that each read is told before others read in vain.
+	castTime = 100 * time.Millisecond
+	// mostLate is the number of reads in a row by a node that knows no other one of
+	// which the answer may be some seconds old.
+	mostLate = 3
 	// pushes is the number of peers that are told of a new version at once.
 	pushes = 4
 	// checks is the number of peers that are asked whether a view is still the newest.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -20,6 +20,8 @@
 	// soon is the time at which a version is read that a peer told of who cannot be
 	// asked for it; it is zero where there is none.
 	soon time.Time
+	// lates is the number of reads whose answer might be some seconds old.
+	lates int
 	// reader tells that this node read the document from the platform and has heard
 	// of nobody who did so since.
 	reader bool
@@ -43,7 +45,11 @@
 	}
 	r.pending = true
 	f := effect.Fetch{Document: d, After: g.version(d).Revision}
-	if f.After > 0 {
+	switch {
+	case len(g.others) == 0 && r.lates < mostLate:
+		r.lates++
+		f.Late = true
+	case f.After > 0:
 		f.Wait = watchTime
 	}
 	return append(out, f)
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -151,6 +151,10 @@
 		// The process slept, so the answer tells what was true before.
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
 	case errors.As(err, &unchanged):
+		// A call that was held tells what was true when the platform let it go.
+		if held := asked.Add(e.Wait); !held.After(now) {
+			asked = held
+		}
 		c.loop.Do(event.Unchanged{At: now, Asked: asked, Document: e.Document, Revision: unchanged.Revision})
 	case err != nil:
 		c.loop.Do(event.Unread{At: now, Document: e.Document})
