--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -156,6 +156,9 @@
 // SetVersions sets the versions that ride on attempts.
 func (n *Entry) SetVersions(v event.Versions) { n.versions = v }
 
+// SetAsk sets the number of guards that are asked before a request is sent.
+func (n *Entry) SetAsk(count int) { n.identity.Ask = count }
+
 // Busy returns the number of requests that are not yet settled.
 func (n *Entry) Busy() int { return len(n.calls) }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -25,6 +25,9 @@
 type Tick struct {
 	At     time.Time
 	Random uint64
+	// Slept is the time since the last tick for which the machine was suspended. The
+	// clock of At does not count it.
+	Slept time.Duration
 }
 
 // Time returns the time of the event.
@@ -38,6 +41,20 @@
 // Time returns the time of the event.
 func (e Leave) Time() time.Time { return e.At }
 
+// Changed tells that the settings of the node have changed.
+type Changed struct {
+	At time.Time
+	// Ask is the number of guards that are asked before a request is sent.
+	Ask int
+	// Refuse tells that new work is refused while nobody confirms an old view.
+	Refuse bool
+	// Drain is the time for which a leaving node stays to refuse late senders.
+	Drain time.Duration
+}
+
+// Time returns the time of the event.
+func (e Changed) Time() time.Time { return e.At }
+
 // Document names one of the two published documents.
 type Document uint8
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -124,6 +124,10 @@
 		out = n.finish(e.At, out)
 	case event.Leave:
 		out = n.leave(e, out)
+	case event.Changed:
+		n.identity.Ask, n.identity.Refuse, n.identity.Drain = e.Ask, e.Refuse, e.Drain
+		n.entry.SetAsk(e.Ask)
+		out = append(out, effect.Note{Kind: effect.KindSettings})
 	}
 	return out
 }
@@ -132,6 +136,9 @@
 func (n *Node) wake(e event.Event, out []effect.Effect) []effect.Effect {
 	at := e.Time()
 	gap := at.Sub(n.last)
+	if t, ok := e.(event.Tick); ok {
+		gap += t.Slept
+	}
 	if gap <= pauseTime {
 		return out
 	}
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 )
@@ -163,3 +164,33 @@
 	}
 	return &r.settings, nil
 }
+
+// Fixed returns the keys whose values differ from those of o and take effect only
+// at the start of a node.
+func (s *Settings) Fixed(o *Settings) []string {
+	var keys []string
+	for _, f := range []struct {
+		key  string
+		same bool
+	}{
+		{"instance", s.Instance == o.Instance},
+		{"centre", s.Centre == o.Centre},
+		{"service", s.Service == o.Service},
+		{"callers", s.Callers == o.Callers},
+		{"nodes", s.Nodes == o.Nodes},
+		{"control", s.Control == o.Control},
+		{"operators", s.Operators == o.Operators},
+		{"ready", s.Ready == o.Ready},
+		{"server", s.Server == o.Server},
+		{"platform", s.Platform == o.Platform},
+		{"peers", slices.Equal(s.Peers, o.Peers)},
+		{"lag", s.Lag == o.Lag},
+		{"dialect", s.Dialect == o.Dialect},
+		{"rules", slices.Equal(s.Rules, o.Rules)},
+	} {
+		if !f.same {
+			keys = append(keys, f.key)
+		}
+	}
+	return keys
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -329,6 +329,15 @@
 // in place of port 0.
 func (d *Daemon) Settings() conf.Settings { return *d.settings }
 
+// Reload takes over settings that have changed. Listeners, addresses and the names
+// of the node stay as they are until it is started again; the log names such keys.
+func (d *Daemon) Reload(s *conf.Settings) {
+	for _, key := range s.Fixed(d.settings) {
+		d.logger.Warn("setting needs a restart", "key", key)
+	}
+	d.loop.Do(event.Changed{At: time.Now(), Ask: s.Ask, Refuse: s.Isolated == conf.Refuse, Drain: s.Drain})
+}
+
 // Versions returns the versions of the documents that the node holds.
 func (d *Daemon) Versions() event.Versions {
 	_, v := d.loop.Load()
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -86,10 +86,13 @@
 	l.stopped.Go(func() {
 		t := time.NewTicker(tickTime)
 		defer t.Stop()
+		var sleep sleepClock
 		for {
 			select {
 			case <-t.C:
-				l.Do(tickNow())
+				e := tickNow()
+				e.Slept = sleep.since(e.At)
+				l.Do(e)
 			case <-l.stop:
 				return
 			}
