feat: tell decisions in log lines, and turn away at the entry what cannot fit

Change: core/effect Decision and io/diary; an answer's load is compared before its request is taken out; an entry that hears from all surveyed guards that none has room in time asks others once and then refuses; waiting attempts go by their chance.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,6 +12,7 @@
 
 	"bulrushlock/io/conf"
 	"bulrushlock/io/daemon"
+	"bulrushlock/io/diary"
 	"bulrushlock/platform"
 )
 
@@ -31,8 +31,10 @@
 	if err != nil {
 		return err
 	}
-	logger := slog.New(slog.NewJSONHandler(s.out, nil))
-	var options []daemon.Option
+	book := diary.New(diary.Options{Out: s.out, Rate: settings.Lines})
+	defer book.Close()
+	logger := slog.New(slog.NewJSONHandler(book, nil))
+	options := []daemon.Option{daemon.WithDiary(book)}
 	if settings.Dialect == conf.Platform {
 		options = append(options, daemon.WithAdapter(platform.New(settings, logger)))
 	}
@@ -40,9 +42,7 @@
 	if err != nil {
 		return &failedError{cause: err}
 	}
-	if _, err := fmt.Fprintf(s.out, "serving callers on %v\n", d.Settings().Callers); err != nil {
-		return &failedError{cause: err}
-	}
+	logger.Info("serving callers", "address", d.Settings().Callers.String())
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go watch(d, path, signals, logger)
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -270,3 +270,61 @@
 
 // Finished tells that a leaving node has no work left.
 type Finished struct{}
+
+// Decision tells of one decision about a request, with what decided it.
+type Decision struct {
+	Kind DecisionKind
+	// Name is the name that the caller gave the request.
+	Name string
+	// Entry and Attempt name the attempt that the decision is about; Attempt is 0
+	// where it is about the whole request.
+	Entry   string
+	Attempt uint64
+	// Failed tells that the decision is a step towards a failure of the request.
+	Failed bool
+	Facts  []Fact
+	// Seen are the candidates among which a guard was chosen.
+	Seen []Seen
+}
+
+// DecisionKind names a kind of decision.
+type DecisionKind string
+
+// The kinds of decisions.
+const (
+	// DecisionPlaced is the choice of the guard that an attempt is sent to.
+	DecisionPlaced DecisionKind = "placed"
+	// DecisionBroken is the end of an attempt without a good answer, at its entry.
+	DecisionBroken DecisionKind = "broken"
+	// DecisionDone is the answer of a backend server that goes to the caller.
+	DecisionDone DecisionKind = "done"
+	// DecisionFailed is an answer that the entry gives the caller itself.
+	DecisionFailed DecisionKind = "failed"
+	// DecisionGone is a caller that has left.
+	DecisionGone DecisionKind = "gone"
+	// DecisionAdmitted is an attempt that a guard lets through.
+	DecisionAdmitted DecisionKind = "admitted"
+	// DecisionRefused is an attempt that a guard refuses.
+	DecisionRefused DecisionKind = "refused"
+	// DecisionServed is the end of the exchange with a backend server.
+	DecisionServed DecisionKind = "served"
+)
+
+// Fact is one input or outcome of a decision. Text goes before Value.
+type Fact struct {
+	Key   string
+	Text  string
+	Value int64
+}
+
+// Seen is what was known of a candidate.
+type Seen struct {
+	Guard string
+	Busy  int
+	Limit int
+	// Slow is the slowness of the backend server in percent.
+	Slow int
+	Wait time.Duration
+	// Age is the time since the guard told this.
+	Age time.Duration
+}
--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -36,6 +36,9 @@
 	if known {
 		p.outstanding = max(0, p.outstanding-1)
 	}
+	if e.Verdict != event.Ran || e.Status >= statusServerError {
+		out = noteBroken(c, e, out)
+	}
 	switch e.Verdict {
 	case event.Ran:
 		return n.ran(c, e, out)
@@ -63,6 +66,7 @@
 	}
 	n.learnDelay(c.class, e.Spent)
 	n.learnUsual(c, e)
+	out = noteDone(c, e, out)
 	out = n.cancelAll(c, out)
 	delete(n.calls, c.id)
 	return append(out, effect.Relay{ID: c.id, Ticket: e.Ticket})
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -52,6 +52,8 @@
 	active   []ticket.Ticket
 	tried    []string
 	attempts int
+	// surveys is the number of times that guards were asked for their load.
+	surveys int
 	// sent is the number of attempts that may have reached a backend server.
 	sent  int
 	lives int
@@ -208,6 +210,7 @@
 	if !c.route.Idempotent || t.Sequence%sampleEvery == 0 {
 		out = append(out, effect.Note{Kind: effect.KindAttempt, Ticket: &t})
 	}
+	out = n.notePlaced(now, c, t, out)
 	call := c.depth
 	call.Left = c.deadline.Sub(now)
 	return append(out, effect.Forward{
@@ -257,5 +260,8 @@
 	}
 	out = n.cancelAll(c, out)
 	delete(n.calls, e.ID)
-	return out
+	return append(out, effect.Decision{Kind: effect.DecisionGone, Name: c.name, Facts: []effect.Fact{
+		{Key: "attempts", Value: int64(c.attempts)},
+		{Key: "total_us", Value: e.At.Sub(c.began).Microseconds()},
+	}})
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -223,5 +223,6 @@
 	if o == effect.Unknown {
 		out = append(out, effect.Note{Kind: effect.KindUnknown, Text: string(r), Ticket: t})
 	}
-	return append(out, effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(now, c, r)})
+	reply := effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(now, c, r)}
+	return append(noteFailed(now, c, reply, out), reply)
 }
--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -54,9 +54,41 @@
 	if len(c.active) > 0 {
 		return n.hedge(e.At, e.Random, c, out)
 	}
+	c.surveys++
+	if n.isHopeless(e.At, e.Random, c) {
+		if asked := n.survey(e.At, e.Random, c); len(asked) > 0 && c.surveys < mostSurveys {
+			c.asking = true
+			return append(out, effect.Survey{ID: c.id, Peers: asked})
+		}
+		return n.reply(e.At, c, effect.NotRun, effect.ReasonBusy, out)
+	}
 	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
 }
 
+const (
+	// mostSurveys is the number of times that guards are asked for one attempt.
+	mostSurveys = 2
+	// fitMargin is the factor on the expected time of a request by which it has to fit
+	// into the time before its answer is due.
+	fitMargin = 1.25
+)
+
+// isHopeless reports whether the guard that is best for c, by what guards have just
+// told, has neither room nor the prospect of it before an answer would be late. Short
+// work is let through, since guards keep room for it that they do not tell of.
+func (n *Entry) isHopeless(now time.Time, random uint64, c *call) bool {
+	p := n.choose(now, random, c)
+	if p == nil || c.route.Aim == 0 || c.isInner() || n.usual.IsShort(c.class) || now.Sub(p.reported) > seenTime {
+		return false
+	}
+	l := p.load
+	if l.Wait == 0 && l.Limit > 0 {
+		return false
+	}
+	takes, ok := n.usual.Takes(c.class, l.Slow)
+	return ok && l.Wait+time.Duration(fitMargin*float64(takes)) > c.aimLeft(now)
+}
+
 // aimLeft returns the time in which an answer to c is still of full use, or 0
 // where its rule names none. A time that has run out is shown as the shortest one.
 func (c *call) aimLeft(now time.Time) time.Duration {
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -57,6 +57,15 @@
 	Expired
 )
 
+// String returns the name of the verdict in lower case.
+func (v Verdict) String() string {
+	names := [...]string{"ran", "not-run", "unsent", "running", "unknown", "broken", "expired"}
+	if int(v) >= len(names) {
+		return "invalid"
+	}
+	return names[v]
+}
+
 // Answered tells how the exchange of an attempt ended.
 type Answered struct {
 	At      time.Time
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -75,6 +75,15 @@
 	Cancelled
 )
 
+// String returns the name of the failure in lower case.
+func (f Failure) String() string {
+	names := [...]string{"none", "refused", "shed", "declined", "reset", "moved", "cancelled"}
+	if int(f) >= len(names) {
+		return "invalid"
+	}
+	return names[f]
+}
+
 // Served tells that the exchange of an admitted attempt with the backend server has ended.
 type Served struct {
 	At      time.Time
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -120,7 +120,7 @@
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
 	if g.hasRoom(e) && g.mayStart(e.At) {
-		return g.run(e, out)
+		return g.run(e, g.noteAdmitted(e, 0, out))
 	}
 	if e.Aim > 0 {
 		return g.queue(e, out)
@@ -144,7 +144,7 @@
 	if !e.Idempotent {
 		g.begin(e)
 	}
-	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, slow: g.sight.Slow}
+	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, name: e.Name, slow: g.sight.Slow}
 	w.short = e.Inner || g.usual.IsShort(e.Class)
 	if w.short {
 		g.short++
@@ -171,7 +171,7 @@
 		g.ledger.Begin(e.Ticket, e.At)
 		g.ledger.Refuse(e.Ticket, e.At)
 	}
-	return deny(e, g.refusal(e), r, out)
+	return deny(e, g.refusal(e), r, g.noteRefused(e, r, out))
 }
 
 // deny appends the refusal of e.
@@ -231,17 +231,19 @@
 		return out
 	}
 	inFlight := len(g.busy)
+	// What rides on an answer still counts its own request as running.
+	g.see(e.At, e.Sight)
 	delete(g.busy, e.Arrival)
 	if w.short {
 		g.short--
 	}
 	g.countShort()
-	g.see(e.At, e.Sight)
 	if e.Failure == event.None && e.Status < statusServerError {
 		g.served = e.At
 		g.usual.Learn(w.class, e.Spent, w.slow)
 	}
 	g.record(w, e)
+	out = noteServed(w, e, out)
 	out = g.learn(w, e, inFlight, out)
 	return g.grant(e.At, out)
 }
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -112,6 +112,7 @@
 	ticket     ticket.Ticket
 	idempotent bool
 	class      int
+	name       string
 	// slow is the slowness of the backend server when the work began, in percent.
 	slow int
 	// short tells that the work was counted as short.
@@ -287,7 +288,7 @@
 		out = g.refuse(g.waiters[arrival], r, out)
 	}
 	for {
-		arrival, ok := g.line.Next(time.Time{})
+		arrival, ok := g.line.Next(time.Time{}, 1)
 		if !ok {
 			break
 		}
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,8 +34,13 @@
 	return g
 }
 
-// find returns the only effect of out, which must be of type T.
+// find returns the only effect of out besides the lines that tell of decisions, which
+// must be of type T.
 func find[T any](c *qt.C, out []effect.Effect) T {
+	out = slices.DeleteFunc(slices.Clone(out), func(e effect.Effect) bool {
+		_, isLine := e.(effect.Decision)
+		return isLine
+	})
 	c.Assert(out, qt.HasLen, 1)
 	e, ok := out[0].(T)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%+v", out))
--- /dev/null
+++ b/core/guard/note.go
@@ -0,0 +1,59 @@
+package guard
+
+import (
+	"time"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+)
+
+// noteAdmitted tells of an attempt that is let through after it has waited.
+func (g *Guard) noteAdmitted(e event.Attempt, waited time.Duration, out []effect.Effect) []effect.Effect {
+	return append(out, effect.Decision{
+		Kind: effect.DecisionAdmitted, Name: e.Name, Entry: e.Ticket.Entry.Instance, Attempt: e.Ticket.Sequence,
+		Facts: append(g.facts(e, e.At), effect.Fact{Key: "waited_us", Value: waited.Microseconds()}),
+	})
+}
+
+// noteRefused tells of an attempt that is refused for reason r.
+func (g *Guard) noteRefused(e event.Attempt, r effect.Reason, out []effect.Effect) []effect.Effect {
+	return append(out, effect.Decision{
+		Kind: effect.DecisionRefused, Name: e.Name, Entry: e.Ticket.Entry.Instance, Attempt: e.Ticket.Sequence, Failed: true,
+		Facts: append(g.facts(e, e.At), effect.Fact{Key: "reason", Text: string(r)}),
+	})
+}
+
+// noteServed tells how the exchange of an attempt with the backend server has ended.
+func noteServed(w work, e event.Served, out []effect.Effect) []effect.Effect {
+	return append(out, effect.Decision{
+		Kind: effect.DecisionServed, Name: w.name, Entry: w.ticket.Entry.Instance, Attempt: w.ticket.Sequence,
+		Failed: e.Failure != event.None && e.Failure != event.Cancelled || e.Status >= statusServerError,
+		Facts: []effect.Fact{
+			{Key: "failure", Text: e.Failure.String()},
+			{Key: "status", Value: int64(e.Status)},
+			{Key: "spent_us", Value: e.Spent.Microseconds()},
+		},
+	})
+}
+
+// facts returns what the guard decides on e by.
+func (g *Guard) facts(e event.Attempt, now time.Time) []effect.Fact {
+	facts := make([]effect.Fact, 0, 12)
+	facts = append(facts,
+		effect.Fact{Key: "busy", Value: int64(len(g.busy))},
+		effect.Fact{Key: "foreign", Value: int64(g.foreign)},
+		effect.Fact{Key: "bound", Value: int64(g.bound())},
+		effect.Fact{Key: "waiting", Value: int64(g.line.Len() + g.waiting.Len())},
+		effect.Fact{Key: "slow", Value: int64(g.sight.Slow)},
+		effect.Fact{Key: "takes_us", Value: g.takes(e).Microseconds()},
+		effect.Fact{Key: "aim_us", Value: e.Aim.Microseconds()},
+		effect.Fact{Key: "left_us", Value: e.Left.Microseconds()},
+	)
+	if !g.sighted.IsZero() {
+		facts = append(facts, effect.Fact{Key: "age_us", Value: now.Sub(g.sighted).Microseconds()})
+	}
+	if g.isCold(now) {
+		facts = append(facts, effect.Fact{Key: "cold", Value: 1})
+	}
+	return facts
+}
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -6,6 +6,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/line"
+	"bulrushlock/core/usual"
 )
 
 const (
@@ -24,8 +25,6 @@
 	shortRounding = 0.5
 	// shortWeight is the weight of a new count of short work in its moving mean.
 	shortWeight = 0.05
-	// usualSlow is the slowness of a backend server that works as usual, in percent.
-	usualSlow = 100
 )
 
 // takes returns the time that e is expected to take if it begins now. Where nothing
@@ -63,9 +62,10 @@
 		return g.refuse(e, effect.ReasonBusy, out)
 	}
 	takes := g.takes(e)
+	usually := time.Duration(float64(takes) / usual.Stretch(g.sight.Slow))
 	due := e.At.Add(e.Aim)
 	fits := time.Duration(waitMargin * float64(takes))
-	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: takes, End: due.Add(-fits)}
+	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: usually, End: due.Add(-fits)}
 	begins := e.At.Add(g.waitBehind(g.line.Ahead(e.Rank, due), bound))
 	if begins.After(i.End) {
 		i.End = e.At.Add(time.Duration(lateShare * float64(e.Aim)))
@@ -89,7 +89,7 @@
 		out = g.refuse(g.waiters[arrival], effect.ReasonBusy, out)
 	}
 	for {
-		arrival, ok := g.line.Next(at)
+		arrival, ok := g.line.Next(at, usual.Stretch(g.sight.Slow))
 		if !ok {
 			return out
 		}
@@ -111,7 +111,7 @@
 	if e.Left <= 0 {
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
-	return g.run(e, out)
+	return g.run(e, g.noteAdmitted(e, waited, out))
 }
 
 // countShort takes the present number of running attempts of short work into its mean.
--- a/core/line/line.go
+++ b/core/line/line.go
@@ -11,7 +11,7 @@
 //
 //	l := line.New[uint64](16)
 //	ok := l.Push(line.Item[uint64]{Value: arrival, Rank: 1, Due: due, End: end, Takes: usual})
-//	arrival, ok := l.Next(now)
+//	arrival, ok := l.Next(now, 1)
 //	late := l.Late(now)
 package line
 
@@ -26,12 +26,33 @@
 	Due time.Time
 	// End is the time until which the item may wait.
 	End time.Time
-	// Takes is the time that the work is expected to take.
+	// Takes is the time that the work usually takes.
 	Takes time.Duration
 }
 
-// canBeInTime reports whether the work would end in time if it began now.
-func (i *Item[T]) canBeInTime(now time.Time) bool { return !now.Add(i.Takes).After(i.Due) }
+// chance tells whether an item can be in time if it begins now.
+type chance uint8
+
+// The chances of an item, of which the highest goes first.
+const (
+	// none is an item that is late however fast the work goes.
+	none chance = iota
+	// some is an item that is in time if the work goes at its usual speed before long.
+	some
+	// good is an item that is in time at the present speed.
+	good
+)
+
+// chance returns the chance of an item while work takes stretch times as long as usual.
+func (i *Item[T]) chance(now time.Time, stretch float64) chance {
+	switch left := i.Due.Sub(now); {
+	case left >= time.Duration(stretch*float64(i.Takes)):
+		return good
+	case left >= i.Takes:
+		return some
+	}
+	return none
+}
 
 // Line is a bounded set of items. It is not safe for use by several goroutines at once.
 type Line[T comparable] struct {
@@ -69,13 +90,14 @@
 	return true
 }
 
-// Next returns the item that goes first and leaves it in: of those that can be in
-// time the one of the lowest rank and then the earliest due time, and where there is
-// none the one that may wait the shortest.
-func (l *Line[T]) Next(now time.Time) (value T, ok bool) {
+// Next returns the item that goes first and leaves it in, while work takes stretch
+// times as long as usual. Items that can be in time go by rank and then by the
+// earliest due time; those that can only be if the work gets faster by rank and then
+// by the latest; and those that are late in any case by the shortest wait that is left.
+func (l *Line[T]) Next(now time.Time, stretch float64) (value T, ok bool) {
 	best := -1
 	for i := range l.items {
-		if best < 0 || l.before(now, &l.items[i], &l.items[best]) {
+		if best < 0 || before(now, stretch, &l.items[i], &l.items[best]) {
 			best = i
 		}
 	}
@@ -86,16 +108,20 @@
 }
 
 // before reports whether a goes before b.
-func (l *Line[T]) before(now time.Time, a, b *Item[T]) bool {
-	inTime := a.canBeInTime(now)
-	if inTime != b.canBeInTime(now) {
-		return inTime
+func before[T comparable](now time.Time, stretch float64, a, b *Item[T]) bool {
+	chanceA, chanceB := a.chance(now, stretch), b.chance(now, stretch)
+	if chanceA != chanceB {
+		return chanceA > chanceB
 	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if inTime {
+	switch chanceA {
+	case good:
 		return a.Due.Before(b.Due)
+	case some:
+		return a.Due.After(b.Due)
+	case none:
 	}
 	return a.End.Before(b.End)
 }
--- a/core/usual/usual.go
+++ b/core/usual/usual.go
@@ -23,7 +23,7 @@
 	usualSlow = 100
 	// lasting is the share of a slow stretch's slowness that work has to expect which
 	// begins within it: a stretch ends while the work goes on.
-	lasting = 0.5
+	lasting = 0.65
 	// shortShare is the time of a class, in times of the mean of all work, up to which
 	// its work is short.
 	shortShare = 0.5
@@ -57,16 +57,16 @@
 // New returns a Usual that has learned nothing.
 func New() *Usual { return &Usual{classes: make(map[int]*mean)} }
 
-// stretch returns the factor on the time of work that begins while the backend
+// Stretch returns the factor on the time of work that begins while the backend
 // server is as slow as given in percent; 0 stands for one that does not tell.
-func stretch(slow int) float64 {
+func Stretch(slow int) float64 {
 	return 1 + lasting*(float64(max(slow, usualSlow))/usualSlow-1)
 }
 
 // Learn takes in that work of a class took the time spent, and began while the
 // backend server was as slow as given in percent.
 func (u *Usual) Learn(class int, spent time.Duration, slow int) {
-	d := time.Duration(float64(spent) / stretch(slow))
+	d := time.Duration(float64(spent) / Stretch(slow))
 	m, ok := u.classes[class]
 	if !ok {
 		if len(u.classes) >= mostClasses {
@@ -86,12 +86,12 @@
 	if !ok {
 		return 0, false
 	}
-	return time.Duration(float64(m.time) * stretch(slow)), true
+	return time.Duration(float64(m.time) * Stretch(slow)), true
 }
 
 // Mean returns the time that work of any class is expected to take if it begins now.
 func (u *Usual) Mean(slow int) time.Duration {
-	return time.Duration(float64(u.all.time) * stretch(slow))
+	return time.Duration(float64(u.all.time) * Stretch(slow))
 }
 
 // IsShort reports whether the work of a class takes much less time than the rest.
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -38,8 +38,12 @@
 	Platform = "platform"
 )
 
-// mostAsked is the largest value of the key "ask".
-const mostAsked = 16
+// Bounds and default of the keys "ask" and "lines".
+const (
+	mostAsked    = 16
+	defaultLines = 200
+	mostLines    = 100_000
+)
 
 // Bounds and defaults of the keys "drain" and "lag".
 const (
@@ -89,6 +93,9 @@
 	Dialect string
 	// Ask is the number of guards that are asked for their load before a request is sent.
 	Ask int
+	// Lines is the number of log lines a second from which lines of requests that went
+	// well are left out.
+	Lines int
 	// Rules are lines of rules that are added to what the platform publishes.
 	Rules []string
 }
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -57,6 +57,7 @@
 		},
 		Isolated: Refuse,
 		Dialect:  Plain,
+		Lines:    200,
 		Drain:    1500 * time.Millisecond,
 		Lag:      30 * time.Second,
 	}
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -31,7 +31,7 @@
 // newReader returns a reader that holds the defaults.
 func newReader() *reader {
 	r := &reader{
-		settings: Settings{Isolated: Serve, Drain: defaultDrain, Lag: defaultLag, Dialect: Plain},
+		settings: Settings{Isolated: Serve, Drain: defaultDrain, Lag: defaultLag, Dialect: Plain, Lines: defaultLines},
 		seen:     make(map[string]ast.Node),
 	}
 	s := &r.settings
@@ -47,7 +47,8 @@
 		{name: "platform", read: r.targetInto("platform", &s.Platform)},
 		{name: "ready", optional: true, read: r.listenerInto("ready", &s.Ready)},
 		{name: "dialect", optional: true, read: r.wordInto("dialect", &s.Dialect, Plain, Platform)},
-		{name: "ask", optional: true, read: r.readAsk},
+		{name: "ask", optional: true, read: r.countInto("ask", &s.Ask, 0, mostAsked)},
+		{name: "lines", optional: true, read: r.countInto("lines", &s.Lines, 1, mostLines)},
 		{name: "rules", optional: true, read: r.readRules},
 		{name: "peers", optional: true, read: r.readPeers},
 		{name: "isolated", optional: true, read: r.wordInto("isolated", &s.Isolated, Serve, Refuse)},
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -149,20 +149,22 @@
 	}
 }
 
-// readAsk reads the number of guards that are asked.
-func (r *reader) readAsk(n ast.Node) {
-	const key = "ask"
-	i, ok := n.(*ast.IntegerNode)
-	if !ok {
-		r.add(n, key, fmt.Sprintf("must be a whole number from 0 to %d, not %s", mostAsked, kind(n)))
-		return
-	}
-	count, err := strconv.Atoi(i.GetToken().Value)
-	if err != nil || count < 0 || count > mostAsked {
-		r.add(n, key, fmt.Sprintf("must be a whole number from 0 to %d, not %s", mostAsked, i.GetToken().Value))
-		return
+// countInto returns a function that reads a whole number from low to high into place.
+func (r *reader) countInto(key string, place *int, low, high int) func(ast.Node) {
+	want := fmt.Sprintf("a whole number from %d to %d", low, high)
+	return func(n ast.Node) {
+		i, ok := n.(*ast.IntegerNode)
+		if !ok {
+			r.add(n, key, fmt.Sprintf("must be %s, not %s", want, kind(n)))
+			return
+		}
+		count, err := strconv.Atoi(i.GetToken().Value)
+		if err != nil || count < low || count > high {
+			r.add(n, key, fmt.Sprintf("must be %s, not %s", want, i.GetToken().Value))
+			return
+		}
+		*place = count
 	}
-	r.settings.Ask = count
 }
 
 // readRules reads the lines of rules and checks them as a part of a whole text.
--- a/io/daemon/adapter.go
+++ b/io/daemon/adapter.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"bulrushlock/io/conf"
+	"bulrushlock/io/loop"
 	"bulrushlock/io/plat"
 	"bulrushlock/io/serve"
 	"bulrushlock/io/sock"
@@ -55,3 +56,6 @@
 		}
 	})
 }
+
+// WithDiary makes a node write down its decisions.
+func WithDiary(l loop.Diary) Option { return func(d *Daemon) { d.diary = l } }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -71,6 +71,7 @@
 type Daemon struct {
 	settings *conf.Settings
 	adapter  Adapter
+	diary    loop.Diary
 	logger   *slog.Logger
 	grams    *gram.Gram
 	loop     *loop.Loop
@@ -234,6 +235,7 @@
 		Centre:   s.Centre,
 		Logger:   d.logger,
 		Scope:    scope,
+		Diary:    d.diary,
 		Carry:    d.carrier.Do,
 	})
 	d.grams = gram.New(d.loop, gram.Options{Node: self, Conn: l.grams, Control: s.Control, Logger: d.logger})
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// nameOf returns the name that the caller gave the request of o.
+func (g *Gate) nameOf(o xchg.Offer) string {
+	ask, err := g.options.Dialect.Ask(o.Header)
+	if err != nil {
+		// The entry has read the same headers and let them pass.
+		return ""
+	}
+	return ask.Name
+}
+
 // pass offers an attempt to the guard and waits for the answer.
 func (g *Gate) pass(ctx context.Context, o xchg.Offer) xchg.Answer {
 	arrival, box := g.loop.Open()
@@ -100,7 +110,7 @@
 		Left:       o.Head,
 		Aim:        o.Aim,
 		Inner:      o.Inner,
-		Name:       o.Name,
+		Name:       g.nameOf(o),
 		Key:        o.Key,
 		First:      o.First,
 		Rules:      o.Versions.Rules,
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -52,10 +52,17 @@
 	Centre   string
 	Logger   *slog.Logger
 	Scope    tally.Scope
+	// Diary writes down decisions; nil writes nothing.
+	Diary Diary
 	// Carry carries out an effect that belongs to no request or attempt. It must not block.
 	Carry func(effect.Effect)
 }
 
+// Diary writes down decisions. It must not block.
+type Diary interface {
+	Decide(at time.Time, e effect.Decision)
+}
+
 // Loop is the only user of a reducer.
 type Loop struct {
 	options Options
@@ -164,6 +171,10 @@
 		switch e := e.(type) {
 		case effect.Note:
 			l.note(e)
+		case effect.Decision:
+			if l.options.Diary != nil {
+				l.options.Diary.Decide(time.Now(), e)
+			}
 		case effect.Count:
 			l.options.Scope.Counter(e.Name).Inc(1)
 		default:
