--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -119,11 +119,12 @@
 	if e.Left <= 0 {
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
-	if g.hasRoom(e) && g.mayStart(e.At) {
+	if g.line.Len() == 0 && g.hasRoom(e) && g.mayStart(e.At) {
 		return g.run(e, g.noteAdmitted(e, 0, out))
 	}
 	if e.Aim > 0 {
-		return g.queue(e, out)
+		// Those who wait may go before it, and it before them.
+		return g.grantLine(e.At, g.queue(e, out))
 	}
 	if !e.Idempotent {
 		g.begin(e)
@@ -144,7 +145,7 @@
 	if !e.Idempotent {
 		g.begin(e)
 	}
-	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, name: e.Name, slow: g.sight.Slow}
+	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, name: e.Name, slow: g.sight.Slow, began: e.At}
 	w.short = e.Inner || g.usual.IsShort(e.Class)
 	if w.short {
 		g.short++
@@ -242,6 +243,7 @@
 		g.served = e.At
 		g.usual.Learn(w.class, e.Spent, w.slow)
 	}
+	g.countFailed(e)
 	g.record(w, e)
 	out = noteServed(w, e, out)
 	out = g.learn(w, e, inFlight, out)
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -81,8 +81,10 @@
 	usual *usual.Usual
 	// short is the number of running attempts whose work is short, and shorts its
 	// moving mean.
-	short    int
-	shorts   float64
+	short  int
+	shorts float64
+	// failed is the moving share of exchanges that failed.
+	failed   float64
 	held     []event.Attempt
 	cold     bool
 	leaving  bool
@@ -117,6 +119,8 @@
 	slow int
 	// short tells that the work was counted as short.
 	short bool
+	// began is the time at which the work was sent.
+	began time.Time
 }
 
 // New returns the guard of a backend server that is in cold start.
@@ -185,7 +189,7 @@
 		Queued:   g.waiting.Len() + g.line.Len(),
 		Wait:     g.wait(now),
 		Limit:    g.bound(),
-		Slow:     g.sight.Slow,
+		Slow:     g.slowness(now),
 		Cold:     g.isCold(now),
 		Ill:      g.isIll(now),
 		Leaving:  g.leaving || g.draining,
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -30,7 +30,7 @@
 // takes returns the time that e is expected to take if it begins now. Where nothing
 // is known of its class that is a share of its aim.
 func (g *Guard) takes(e event.Attempt) time.Duration {
-	if d, ok := g.usual.Takes(e.Class, g.sight.Slow); ok {
+	if d, ok := g.usual.Takes(e.Class, g.slowness(e.At)); ok {
 		return d
 	}
 	return e.Aim / 3
@@ -45,13 +45,13 @@
 	if len(g.busy)+g.foreign < bound && g.line.Len() == 0 {
 		return 0
 	}
-	return g.waitBehind(g.line.Len(), bound)
+	return g.waitBehind(now, g.line.Len(), bound)
 }
 
 // waitBehind returns the time after which an attempt is expected to begin that has
 // others ahead of it while all of the bound run.
-func (g *Guard) waitBehind(ahead, bound int) time.Duration {
-	return g.usual.Mean(g.sight.Slow) * time.Duration(ahead+1) / time.Duration(bound)
+func (g *Guard) waitBehind(now time.Time, ahead, bound int) time.Duration {
+	return g.usual.Mean(g.slowness(now)) * time.Duration(ahead+1) / time.Duration(bound)
 }
 
 // queue lets e wait until its answer would be late, or refuses it at once where it
@@ -62,11 +62,11 @@
 		return g.refuse(e, effect.ReasonBusy, out)
 	}
 	takes := g.takes(e)
-	usually := time.Duration(float64(takes) / usual.Stretch(g.sight.Slow))
+	usually := time.Duration(float64(takes) / usual.Stretch(g.slowness(e.At)))
 	due := e.At.Add(e.Aim)
 	fits := time.Duration(waitMargin * float64(takes))
 	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: usually, End: due.Add(-fits)}
-	begins := e.At.Add(g.waitBehind(g.line.Ahead(e.Rank, due), bound))
+	begins := e.At.Add(g.waitBehind(e.At, g.line.Ahead(e.Rank, due), bound))
 	if begins.After(i.End) {
 		i.End = e.At.Add(time.Duration(lateShare * float64(e.Aim)))
 	}
@@ -89,7 +89,7 @@
 		out = g.refuse(g.waiters[arrival], effect.ReasonBusy, out)
 	}
 	for {
-		arrival, ok := g.line.Next(at, usual.Stretch(g.sight.Slow))
+		arrival, ok := g.line.Next(at, usual.Stretch(g.slowness(at)))
 		if !ok {
 			return out
 		}
@@ -118,3 +118,67 @@
 func (g *Guard) countShort() {
 	g.shorts += shortWeight * (float64(g.short) - g.shorts)
 }
+
+const (
+	// usualSlow is the slowness of a backend server that works as usual, in percent.
+	usualSlow = 100
+	// dragLeast is the mean time that running work has taken already, in times of what
+	// it usually takes in all, from which the backend server is slow whatever it tells.
+	// At the usual speed it is a half, and about two within a slow stretch, which the
+	// backend server tells itself.
+	dragLeast = 3.0
+	// mostSlow is the highest slowness that is told, in percent.
+	mostSlow = 5000
+	// failWeight is the weight of an exchange in the moving share of failures.
+	failWeight = 0.1
+	// failCost is the factor by which a backend server counts as slower that fails all
+	// it is sent.
+	failCost = 8
+)
+
+// slowness returns how long work takes now, in percent of the usual: by the backend
+// server's own word, by how long what it runs has taken already, and by how much of
+// it fails. It is 0 where nothing is known.
+func (g *Guard) slowness(now time.Time) int {
+	slow := float64(g.sight.Slow)
+	if d := g.drag(now); d > dragLeast {
+		slow = max(slow, usualSlow*d)
+	}
+	if g.failed > failLeast {
+		slow = max(slow, usualSlow) * (1 + failCost*g.failed)
+	}
+	return int(min(slow, mostSlow))
+}
+
+// failLeast is the share of failures up to which they are taken for chance.
+const failLeast = 0.2
+
+// drag returns the mean time that running work has taken already, in times of what it
+// usually takes in all.
+func (g *Guard) drag(now time.Time) float64 {
+	sum, count := 0.0, 0
+	for _, w := range g.busy {
+		takes, ok := g.usual.Takes(w.class, 0)
+		if !ok || takes <= 0 {
+			continue
+		}
+		sum += float64(now.Sub(w.began)) / float64(takes)
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
+// countFailed takes the end of an exchange into the share of failures.
+func (g *Guard) countFailed(e event.Served) {
+	outcome := 0.0
+	switch {
+	case e.Failure == event.Cancelled:
+		return
+	case e.Failure != event.None, e.Status >= statusServerError:
+		outcome = 1
+	}
+	g.failed += failWeight * (outcome - g.failed)
+}
--- a/core/usual/usual.go
+++ b/core/usual/usual.go
@@ -24,8 +24,8 @@
 	// lasting is the share of a slow stretch's slowness that work has to expect which
 	// begins within it: a stretch ends while the work goes on.
 	lasting = 0.65
-	// shortShare is the time of a class, in times of the mean of all work, up to which
-	// its work is short.
+	// shortShare is the time of a class, in times of the mean of all work weighted by
+	// time, up to which its work is short.
 	shortShare = 0.5
 	// mostClasses is the number of classes that are remembered.
 	mostClasses = 4096
@@ -36,6 +36,8 @@
 type Usual struct {
 	classes map[int]*mean
 	all     mean
+	// squares is the moving mean of the squares of all times, in seconds squared.
+	squares float64
 }
 
 // mean is a moving mean of times.
@@ -77,6 +79,8 @@
 	}
 	m.add(d)
 	u.all.add(d)
+	w := max(weight, 1/float64(u.all.count))
+	u.squares += w * (d.Seconds()*d.Seconds() - u.squares)
 }
 
 // Takes returns the time that work of a class is expected to take if it begins now.
@@ -97,5 +101,10 @@
 // IsShort reports whether the work of a class takes much less time than the rest.
 func (u *Usual) IsShort(class int) bool {
 	m, ok := u.classes[class]
-	return ok && float64(m.time) <= shortShare*float64(u.all.time)
+	if !ok || u.all.time <= 0 {
+		return false
+	}
+	// Weighted by time, much short work does not make the rest of it look long.
+	long := u.squares / u.all.time.Seconds()
+	return m.time.Seconds() <= shortShare*long
 }
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -80,7 +80,7 @@
 	if v.over.Load() {
 		e.Reason = effect.ReasonBody
 	}
-	p := problem{Status: statusOf(e), Outcome: e.Outcome.String(), Reason: string(e.Reason), Detail: detailOf(e)}
+	p := problem{Status: v.statusOf(e), Outcome: e.Outcome.String(), Reason: string(e.Reason), Detail: detailOf(e)}
 	if e.Ticket != nil && !v.front.options.Mute {
 		p.Ticket = e.Ticket.String()
 		v.setTicket(*e.Ticket)
@@ -100,8 +100,11 @@
 }
 
 // statusOf returns the HTTP status that stands for an outcome and its reason.
-func statusOf(e effect.Reply) int {
+func (v *visit) statusOf(e effect.Reply) int {
 	if e.Outcome == effect.Running {
+		if v.front.options.Mute {
+			return http.StatusGatewayTimeout
+		}
 		return http.StatusConflict
 	}
 	switch e.Reason {
@@ -112,7 +115,9 @@
 	case effect.ReasonDepth:
 		return http.StatusLoopDetected
 	case effect.ReasonDeadline:
-		return http.StatusGatewayTimeout
+		if e.Outcome != effect.NotRun {
+			return http.StatusGatewayTimeout
+		}
 	}
 	if e.Outcome == effect.Unknown {
 		return http.StatusBadGateway
