--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -14,7 +14,10 @@
 // A Bucket is not safe for use by several goroutines at once.
 package bucket
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Bucket is a token bucket. Over any window of time it gives out no more than
 // its burst and what its rate adds within the window.
@@ -61,3 +64,19 @@
 	}
 	b.last = now
 }
+
+// Wait returns the time until the Bucket holds n tokens, without a call to Take before.
+// It is the longest time there is where that never comes.
+func (b *Bucket) Wait(now time.Time, n float64) time.Duration {
+	held := b.tokens
+	if !b.last.IsZero() && now.After(b.last) {
+		held = min(b.burst, held+b.rate*now.Sub(b.last).Seconds())
+	}
+	switch {
+	case held >= n:
+		return 0
+	case b.rate == 0:
+		return math.MaxInt64
+	}
+	return time.Duration((n - held) / b.rate * float64(time.Second))
+}
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -119,7 +119,7 @@
 	if e.Left <= 0 {
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
-	if g.line.Len() == 0 && g.hasRoom(e) && g.mayStart(e.At) {
+	if g.line.Len() == 0 && g.hasRoom(e) && g.mayStart(e.At, g.isLate(e.At, e)) {
 		return g.run(e, g.noteAdmitted(e, 0, out))
 	}
 	if e.Aim > 0 {
@@ -189,7 +189,7 @@
 			return out
 		}
 		e := g.waiters[arrival]
-		if !g.hasRoom(e) || !g.mayStart(at) {
+		if !g.hasRoom(e) || !g.mayStart(at, false) {
 			return out
 		}
 		g.waiting.Remove(arrival)
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -241,8 +241,17 @@
 }
 
 // mayStart reports whether a cold start lets another attempt begin now, and counts
-// it where it does.
-func (g *Guard) mayStart(now time.Time) bool { return !g.isPaced() || g.pace.Take(now) }
+// it where it does. An attempt that is late in any case leaves its turn to one that
+// can still be in time.
+func (g *Guard) mayStart(now time.Time, isLate bool) bool {
+	if !g.isPaced() {
+		return true
+	}
+	if isLate && !g.pace.IsSpare(now) {
+		return false
+	}
+	return g.pace.Take(now)
+}
 
 // hasRoom reports whether e may run now. Short work and calls of running requests may
 // take the last slots, and are left room by the rest: what waits for them holds a slot
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -30,10 +30,21 @@
 // takes returns the time that e is expected to take if it begins now. Where nothing
 // is known of its class that is a share of its aim.
 func (g *Guard) takes(e event.Attempt) time.Duration {
-	if d, ok := g.usual.Takes(e.Class, g.slowness(e.At)); ok {
-		return d
+	slow := g.slowness(e.At)
+	usually, ok := g.usual.Takes(e.Class, 0)
+	if !ok {
+		usually = e.Aim / 3
 	}
-	return e.Aim / 3
+	return time.Duration(float64(usually) * g.stretch(e.At, slow))
+}
+
+// stretch returns the factor on the time of work that begins now. A cold start lasts
+// longer than the work, while a slow stretch may end within it.
+func (g *Guard) stretch(now time.Time, slow int) float64 {
+	if g.isPaced() && g.pace.IsCold(now) {
+		return float64(max(slow, usualSlow)) / usualSlow
+	}
+	return usual.Stretch(slow)
 }
 
 // wait returns the time after which one more attempt is expected to begin.
@@ -42,16 +53,20 @@
 	if bound == 0 {
 		return 0
 	}
-	if len(g.busy)+g.foreign < bound && g.line.Len() == 0 {
-		return 0
-	}
 	return g.waitBehind(now, g.line.Len(), bound)
 }
 
 // waitBehind returns the time after which an attempt is expected to begin that has
 // others ahead of it while all of the bound run.
 func (g *Guard) waitBehind(now time.Time, ahead, bound int) time.Duration {
-	return g.usual.Mean(g.slowness(now)) * time.Duration(ahead+1) / time.Duration(bound)
+	wait := g.usual.Mean(g.slowness(now)) * time.Duration(ahead+1) / time.Duration(bound)
+	if len(g.busy)+g.foreign < bound {
+		wait = 0
+	}
+	if !g.isPaced() {
+		return wait
+	}
+	return max(wait, g.pace.Wait(now, ahead))
 }
 
 // queue lets e wait until its answer would be late, or refuses it at once where it
@@ -62,7 +77,7 @@
 		return g.refuse(e, effect.ReasonBusy, out)
 	}
 	takes := g.takes(e)
-	usually := time.Duration(float64(takes) / usual.Stretch(g.slowness(e.At)))
+	usually := time.Duration(float64(takes) / g.stretch(e.At, g.slowness(e.At)))
 	due := e.At.Add(e.Aim)
 	fits := time.Duration(waitMargin * float64(takes))
 	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: usually, End: due.Add(-fits)}
@@ -89,12 +104,12 @@
 		out = g.refuse(g.waiters[arrival], effect.ReasonBusy, out)
 	}
 	for {
-		arrival, ok := g.line.Next(at, usual.Stretch(g.slowness(at)))
+		arrival, ok := g.line.Next(at, g.stretch(at, g.slowness(at)))
 		if !ok {
 			return out
 		}
 		e := g.waiters[arrival]
-		if !g.hasRoom(e) || !g.mayStart(at) {
+		if !g.hasRoom(e) || !g.mayStart(at, g.isLate(at, e)) {
 			return out
 		}
 		g.line.Remove(arrival)
@@ -102,6 +117,12 @@
 	}
 }
 
+// isLate reports whether e is late however fast the work goes.
+func (g *Guard) isLate(now time.Time, e event.Attempt) bool {
+	takes, ok := g.usual.Takes(e.Class, 0)
+	return ok && e.Aim > 0 && now.Sub(e.At)+takes > e.Aim
+}
+
 // runWaiter runs an attempt that has waited.
 func (g *Guard) runWaiter(at time.Time, e event.Attempt, out []effect.Effect) []effect.Effect {
 	delete(g.waiters, e.Arrival)
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -59,3 +59,17 @@
 
 // Take reports whether a request may start now, and counts it where it may.
 func (p *Pace) Take(now time.Time) bool { return !p.IsCold(now) || p.bucket.Take(now, 1) }
+
+// IsSpare reports whether a request may start now without taking the turn of one that
+// comes soon: the backend server is warm, or no other request has started for a while.
+func (p *Pace) IsSpare(now time.Time) bool {
+	return !p.IsCold(now) || p.bucket.Wait(now, burst) == 0
+}
+
+// Wait returns the time after which one more request may start that has others ahead of it.
+func (p *Pace) Wait(now time.Time, ahead int) time.Duration {
+	if !p.IsCold(now) {
+		return 0
+	}
+	return p.bucket.Wait(now, float64(ahead+1))
+}
