--- /dev/null
+++ b/core/entry/survey_test.go
@@ -0,0 +1,229 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/depth"
+	"bulrushlock/core/effect"
+	"bulrushlock/core/entry"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/report"
+	"bulrushlock/core/rules"
+	"bulrushlock/core/ticket"
+)
+
+const askRules = `
+budget retry=100% hedge=100%                                                             # Asha: test
+service ledger slots=9 rate=11                                                           # Asha: test
+service archive slots=9 rate=11                                                          # Asha: test
+route GET /lines service=ledger idempotent=yes aim=500ms time=2s tries=2                 # Asha: test
+route POST /lines service=ledger idempotent=no aim=500ms time=2s tries=1                 # Asha: test
+route GET /old split=ledger:75,archive:25 idempotent=yes aim=500ms time=2s tries=1       # Asha: test
+`
+
+// newAsking returns an entry that asks three guards, with four near and four far guards
+// of the service ledger and one of the service archive.
+func newAsking(c *qt.C) *entry.Entry {
+	set, err := rules.Parse(askRules)
+	c.Assert(err, qt.IsNil)
+	n := entry.New(entry.Identity{Node: ticket.Node{Instance: "near-0", Incarnation: 1}, Centre: "near", Ask: 3}, pick.NewAware())
+	var instances []fleet.Instance
+	add := func(name, centre, service string) {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(instances) + 1)}), 1)
+		instances = append(instances, fleet.Instance{Name: name, Centre: centre, Service: service, Nodes: at, Control: at})
+	}
+	for i := range 4 {
+		add(fmt.Sprintf("near-%d", i), "near", "ledger")
+		add(fmt.Sprintf("far-%d", i), "far", "ledger")
+	}
+	add("old-0", "near", "archive")
+	n.Apply(set, instances)
+	return n
+}
+
+// get returns a request of the given path.
+func get(id uint64, path string, at time.Time, left time.Duration) event.Request {
+	return event.Request{At: at, ID: id, Name: fmt.Sprint(id), Method: "GET", Path: path, Call: depth.Call{Left: left}, Random: id * 7919}
+}
+
+// told returns the answers of guards that all have the same load.
+func told(at time.Time, peers []fleet.Instance, load report.Load) []event.Loaded {
+	var loads []event.Loaded
+	for _, p := range peers {
+		loads = append(loads, event.Loaded{At: at, Guard: ticket.Node{Instance: p.Name, Incarnation: 5}, Load: load})
+	}
+	return loads
+}
+
+// answer lets the attempt of f be answered after spent.
+func answer(n *entry.Entry, f effect.Forward, at time.Time, spent time.Duration) []effect.Effect {
+	load := report.Load{Limit: 7, Slow: 100}
+	return n.Answered(event.Answered{
+		At: at, ID: f.ID, Ticket: f.Ticket, Verdict: event.Ran, Status: 200, Spent: spent, Load: &load, Guard: f.Ticket.Guard,
+	}, nil)
+}
+
+// learn lets the entry learn that lookups take 150 ms, and returns the time after that.
+func learn(c *qt.C, n *entry.Entry) time.Time {
+	at := now
+	for id := range uint64(30) {
+		at = at.Add(time.Second)
+		s := find[effect.Survey](c, n.Request(get(1000+id, "/lines", at, 3*time.Second), nil))
+		f := find[effect.Forward](c, n.Surveyed(event.Surveyed{At: at, ID: s.ID, Loads: told(at, s.Peers, report.Load{Limit: 7, Slow: 100})}, nil))
+		answer(n, f, at.Add(150*time.Millisecond), 150*time.Millisecond)
+	}
+	return at.Add(time.Second)
+}
+
+func TestGuardsOfTheOwnDataCentreAreAskedFirst(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	for id := range uint64(20) {
+		s := find[effect.Survey](c, n.Request(get(id, "/lines", now, 3*time.Second), nil))
+		c.Assert(s.Peers, qt.HasLen, 3)
+		for _, p := range s.Peers {
+			c.Check(p.Centre, qt.Equals, "near")
+			c.Check(p.Name, qt.Not(qt.Equals), "near-0")
+		}
+	}
+}
+
+func TestRequestGoesToTheFastGuard(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	s := find[effect.Survey](c, n.Request(get(1, "/lines", now, 3*time.Second), nil))
+	loads := told(now, s.Peers, report.Load{Limit: 7, Slow: 400})
+	loads[1].Load = report.Load{Limit: 7, Slow: 100, InFlight: 5}
+	f := find[effect.Forward](c, n.Surveyed(event.Surveyed{At: now, ID: 1, Loads: loads}, nil))
+	c.Check(f.Peer.Name, qt.Equals, s.Peers[1].Name)
+	c.Check(f.Ticket.Guard.Incarnation, qt.Equals, uint64(5))
+	c.Check(f.Aim, qt.Equals, 500*time.Millisecond)
+}
+
+// Full load is replayed: where no guard has room in time, others are asked once, and
+// then the caller learns of it at once, with a time to come back that spreads callers.
+func TestWhatCannotFitIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	at := learn(c, n)
+	full := report.Load{Limit: 7, Slow: 100, InFlight: 7, Wait: 400 * time.Millisecond}
+	retries := make(map[time.Duration]bool)
+	for id := range uint64(10) {
+		at = at.Add(time.Second)
+		s := find[effect.Survey](c, n.Request(get(id, "/lines", at, 3*time.Second), nil))
+		again := find[effect.Survey](c, n.Surveyed(event.Surveyed{At: at, ID: id, Loads: told(at, s.Peers, full)}, nil))
+		for _, p := range again.Peers {
+			c.Check(p.Centre, qt.Equals, "far")
+		}
+		r := find[effect.Reply](c, n.Surveyed(event.Surveyed{At: at, ID: id, Loads: told(at, again.Peers, full)}, nil))
+		c.Check(r.Outcome, qt.Equals, effect.NotRun)
+		c.Check(r.Reason, qt.Equals, effect.ReasonBusy)
+		c.Check(r.Retry >= 400*time.Millisecond && r.Retry <= time.Second, qt.IsTrue, qt.Commentf("%v", r.Retry))
+		retries[r.Retry] = true
+	}
+	c.Check(len(retries) >= 8, qt.IsTrue)
+}
+
+func TestRequestThatFitsIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	at := learn(c, n)
+	s := find[effect.Survey](c, n.Request(get(1, "/lines", at, 3*time.Second), nil))
+	load := report.Load{Limit: 7, Slow: 100, InFlight: 7, Wait: 100 * time.Millisecond}
+	out := n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: told(at, s.Peers, load)}, nil)
+	c.Check(has[effect.Forward](out), qt.IsTrue)
+}
+
+// A caller that comes back has less time left, and its answer is due that much earlier.
+func TestAimOfACallerThatComesBack(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	at := learn(c, n)
+	s := find[effect.Survey](c, n.Request(get(1, "/lines", at, 2700*time.Millisecond), nil))
+	f := find[effect.Forward](c, n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: told(at, s.Peers, report.Load{Limit: 7})}, nil))
+	c.Check(f.Aim, qt.Equals, 200*time.Millisecond)
+}
+
+func TestHedgeAtTheLastUsefulMoment(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		load   report.Load
+		hedged bool
+	}{
+		{name: "a fast guard with room", method: "GET", load: report.Load{Limit: 7, Slow: 100}, hedged: true},
+		{name: "a slow guard", method: "GET", load: report.Load{Limit: 7, Slow: 400}},
+		{name: "a full guard", method: "GET", load: report.Load{Limit: 7, Slow: 100, InFlight: 6}},
+		{name: "a cold guard", method: "GET", load: report.Load{Limit: 7, Slow: 100, Cold: true}},
+		{name: "not idempotent", method: "POST", load: report.Load{Limit: 7, Slow: 100}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newAsking(c)
+			at := learn(c, n)
+			r := get(1, "/lines", at, 3*time.Second)
+			r.Method = tt.method
+			s := find[effect.Survey](c, n.Request(r, nil))
+			f := find[effect.Forward](c, n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: told(at, s.Peers, report.Load{Limit: 7})}, nil))
+			if tt.method == "POST" {
+				c.Check(f.Hedge, qt.Equals, time.Duration(0))
+				return
+			}
+			c.Assert(f.Hedge > 250*time.Millisecond && f.Hedge < 350*time.Millisecond, qt.IsTrue, qt.Commentf("%v", f.Hedge))
+			at = at.Add(f.Hedge)
+			again := find[effect.Survey](c, n.Slow(event.Slow{At: at, ID: 1}, nil))
+			out := n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: told(at, again.Peers, tt.load)}, nil)
+			c.Check(has[effect.Forward](out), qt.Equals, tt.hedged)
+		})
+	}
+}
+
+// A request goes to no more backend servers than its rule allows; what guards refuse
+// does not count.
+func TestTriesCountBackendServers(t *testing.T) {
+	tests := []struct {
+		name    string
+		verdict event.Verdict
+		reason  effect.Reason
+		again   bool
+	}{
+		{"the guard refuses", event.NotRun, effect.ReasonBusy, true},
+		{"the backend server refuses", event.NotRun, effect.ReasonShed, false},
+		{"no connection", event.Unsent, "", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newAsking(c)
+			r := get(1, "/lines", now, 3*time.Second)
+			r.Method = "POST"
+			s := find[effect.Survey](c, n.Request(r, nil))
+			f := find[effect.Forward](c, n.Surveyed(event.Surveyed{At: now, ID: 1, Loads: told(now, s.Peers, report.Load{Limit: 7})}, nil))
+			out := n.Answered(event.Answered{At: now, ID: 1, Ticket: f.Ticket, Verdict: tt.verdict, Reason: string(tt.reason)}, nil)
+			c.Check(has[effect.Forward](out), qt.Equals, tt.again)
+		})
+	}
+}
+
+func TestPartsOfARouteGetTheirShares(t *testing.T) {
+	c := qt.New(t)
+	n := newAsking(c)
+	counts := make(map[string]int)
+	for id := range uint64(400) {
+		out := n.Request(get(id, "/old", now, 3*time.Second), nil)
+		if has[effect.Survey](out) {
+			s := find[effect.Survey](c, out)
+			out = n.Surveyed(event.Surveyed{At: now, ID: id, Loads: told(now, s.Peers, report.Load{Limit: 1000})}, nil)
+		}
+		counts[find[effect.Forward](c, out).Ticket.Service]++
+	}
+	c.Check(counts, qt.DeepEquals, map[string]int{"ledger": 300, "archive": 100})
+}
--- /dev/null
+++ b/core/line/line_test.go
@@ -0,0 +1,103 @@
+package line_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/line"
+)
+
+var now = time.Unix(1000, 0)
+
+// at returns a time in milliseconds from now.
+func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+
+// item returns an item that takes 100ms.
+func item(value, rank, due, end int) line.Item[int] {
+	return line.Item[int]{Value: value, Rank: rank, Due: at(due), End: at(end), Takes: 100 * time.Millisecond}
+}
+
+// drain takes all items in their order.
+func drain(l *line.Line[int], stretch float64) []int {
+	var order []int
+	for {
+		v, ok := l.Next(now, stretch)
+		if !ok {
+			return order
+		}
+		l.Remove(v)
+		order = append(order, v)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	tests := []struct {
+		name    string
+		items   []line.Item[int]
+		stretch float64
+		want    []int
+	}{
+		{"the earliest due goes first", []line.Item[int]{item(1, 1, 300, 200), item(2, 1, 200, 100)}, 1, []int{2, 1}},
+		{"rank goes before due", []line.Item[int]{item(1, 2, 200, 100), item(2, 1, 300, 200)}, 1, []int{2, 1}},
+		{"late work gives way", []line.Item[int]{item(1, 1, 50, 60), item(2, 2, 300, 200)}, 1, []int{2, 1}},
+		{"late work by the wait that is left", []line.Item[int]{item(1, 1, 50, 60), item(2, 1, 60, 40)}, 1, []int{2, 1}},
+		{"slow: who can be in time goes first", []line.Item[int]{item(1, 1, 150, 50), item(2, 1, 350, 250)}, 3, []int{2, 1}},
+		{"slow: then who has most time", []line.Item[int]{item(1, 1, 150, 50), item(2, 1, 250, 150)}, 3, []int{2, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := line.New[int](8)
+			for _, i := range tt.items {
+				c.Assert(l.Push(i), qt.IsTrue)
+			}
+			c.Check(drain(l, tt.stretch), qt.DeepEquals, tt.want)
+		})
+	}
+}
+
+func TestFullLineTakesNothing(t *testing.T) {
+	c := qt.New(t)
+	l := line.New[int](1)
+	c.Check(l.Push(item(1, 1, 300, 200)), qt.IsTrue)
+	c.Check(l.Push(item(2, 1, 300, 200)), qt.IsFalse)
+	c.Check(l.Len(), qt.Equals, 1)
+}
+
+func TestLateItemsAreGivenOut(t *testing.T) {
+	c := qt.New(t)
+	l := line.New[int](8)
+	l.Push(item(1, 1, 300, 10))
+	l.Push(item(2, 1, 300, 20))
+	c.Check(l.Late(at(9)), qt.HasLen, 0)
+	c.Check(l.Late(at(10)), qt.DeepEquals, []int{1})
+	c.Check(l.Len(), qt.Equals, 1)
+}
+
+// Every item comes out once, by Next or by Late, and none of a worse chance or rank
+// goes before another.
+func TestItemsComeOutOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := line.New[int](64)
+		count := rapid.IntRange(0, 40).Draw(t, "count")
+		for v := range count {
+			l.Push(item(v, rapid.IntRange(1, 3).Draw(t, "rank"), rapid.IntRange(0, 400).Draw(t, "due"), rapid.IntRange(0, 400).Draw(t, "end")))
+		}
+		seen := make(map[int]bool)
+		for _, v := range l.Late(at(rapid.IntRange(0, 400).Draw(t, "now"))) {
+			seen[v] = true
+		}
+		for _, v := range drain(l, 1) {
+			if seen[v] {
+				t.Fatalf("%d twice", v)
+			}
+			seen[v] = true
+		}
+		if len(seen) != count {
+			t.Fatalf("%d of %d", len(seen), count)
+		}
+	})
+}
--- a/core/usual/usual.go
+++ b/core/usual/usual.go
@@ -24,9 +24,11 @@
 	// lasting is the share of a slow stretch's slowness that work has to expect which
 	// begins within it: a stretch ends while the work goes on.
 	lasting = 0.65
-	// shortShare is the time of a class, in times of the mean of all work weighted by
-	// time, up to which its work is short.
-	shortShare = 0.5
+	// shortShare is the time of a class, in times of the longest class, up to which its
+	// work is short, and shareOfMean that in times of the mean of all work weighted by
+	// time: one rare class of long work does not make all the rest short.
+	shortShare  = 0.5
+	shareOfMean = 0.75
 	// mostClasses is the number of classes that are remembered.
 	mostClasses = 4096
 )
@@ -104,7 +106,10 @@
 	if !ok || u.all.time <= 0 {
 		return false
 	}
-	// Weighted by time, much short work does not make the rest of it look long.
-	long := u.squares / u.all.time.Seconds()
-	return m.time.Seconds() <= shortShare*long
+	longest := time.Duration(0)
+	for _, o := range u.classes {
+		longest = max(longest, o.time)
+	}
+	weighted := u.squares / u.all.time.Seconds()
+	return float64(m.time) <= shortShare*float64(longest) && m.time.Seconds() <= shareOfMean*weighted
 }
--- /dev/null
+++ b/core/usual/usual_test.go
@@ -0,0 +1,61 @@
+package usual_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/usual"
+)
+
+const ms = time.Millisecond
+
+// near reports whether two times differ by at most a tenth.
+func near(a, b time.Duration) bool { return a > b*9/10 && a < b*11/10 }
+
+func TestSlowStretchesAreNotTakenForTheUsual(t *testing.T) {
+	c := qt.New(t)
+	u := usual.New()
+	for i := range 200 {
+		slow, spent := 100, 200*ms
+		if i%4 == 0 {
+			slow, spent = 400, time.Duration(float64(200*ms)*usual.Stretch(400))
+		}
+		u.Learn(1, spent, slow)
+	}
+	takes, ok := u.Takes(1, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(near(takes, 200*ms), qt.IsTrue, qt.Commentf("%v", takes))
+	slow, _ := u.Takes(1, 400)
+	c.Check(slow > 2*takes, qt.IsTrue)
+	_, ok = u.Takes(2, 0)
+	c.Check(ok, qt.IsFalse)
+}
+
+// Short work stays short however much of it there is.
+func TestShortWork(t *testing.T) {
+	for _, shorts := range []int{1, 2, 8} {
+		c := qt.New(t)
+		u := usual.New()
+		for range 100 {
+			u.Learn(1, 130*ms, 100)
+			for range shorts {
+				u.Learn(2, 40*ms, 100)
+			}
+		}
+		c.Check(u.IsShort(1), qt.IsFalse)
+		c.Check(u.IsShort(2), qt.IsTrue, qt.Commentf("%d", shorts))
+		c.Check(u.IsShort(3), qt.IsFalse)
+	}
+}
+
+func TestRareLongWorkDoesNotMakeTheRestShort(t *testing.T) {
+	c := qt.New(t)
+	u := usual.New()
+	u.Learn(1, 2000*ms, 100)
+	for range 100 {
+		u.Learn(2, 150*ms, 100)
+	}
+	c.Check(u.IsShort(2), qt.IsFalse)
+}
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -121,6 +121,49 @@
 	}
 }
 
+func TestParsePlatform(t *testing.T) {
+	c := qt.New(t)
+	text := replace("instance", "") + "ready: 127.0.0.1:8004\ndialect: platform\nask: 3\nlines: 50\n" +
+		"rules:\n  - \"budget look=20   # team: speed\"\n"
+	s, err := Parse("n", []byte(text))
+	c.Assert(err, qt.IsNil)
+	c.Check(s.Instance, qt.Equals, "127-0-0-1")
+	c.Check(s.Ready, qt.Equals, netip.MustParseAddrPort("127.0.0.1:8004"))
+	c.Check(s.Dialect, qt.Equals, Platform)
+	c.Check(s.Ask, qt.Equals, 3)
+	c.Check(s.Lines, qt.Equals, 50)
+	c.Check(s.Rules, qt.DeepEquals, []string{"budget look=20   # team: speed"})
+}
+
+func TestParsePlatformFaults(t *testing.T) {
+	tests := []struct {
+		name, text, want string
+	}{
+		{"ready is a listener already", "ready: 127.0.0.1:8000\n", `n:10:8: key "ready": .* of callers already`},
+		{"unknown dialect", "dialect: other\n", `n:10:10: key "dialect": must be "plain" or "platform".*`},
+		{"ask too many", "ask: 17\n", `n:10:6: key "ask": must be a whole number from 0 to 16, not 17`},
+		{"ask no number", "ask: some\n", `n:10:6: key "ask": must be a whole number .*`},
+		{"no lines", "lines: 0\n", `n:10:8: key "lines": must be a whole number from 1 .*`},
+		{"rules no sequence", "rules: out centre=a\n", `n:10:8: key "rules": must be a sequence .*`},
+		{"rule without who", "rules:\n- out centre=a\n", `n:11:3: key "rules": rules: 1:.*does not tell who.*`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse("n", []byte(good+tt.text))
+			qt.New(t).Assert(err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+func TestFixedKeys(t *testing.T) {
+	c := qt.New(t)
+	a, err := Parse("n", []byte(good))
+	c.Assert(err, qt.IsNil)
+	b, err := Parse("n", []byte(replace("server", "server: 127.0.0.1:9001")+"ask: 2\n"))
+	c.Assert(err, qt.IsNil)
+	c.Check(b.Fixed(a), qt.DeepEquals, []string{"server"})
+}
+
 func TestParseAllFaultsAtOnce(t *testing.T) {
 	c := qt.New(t)
 	_, err := Parse("n", []byte("centre: 7\nport: 1\n"))
--- /dev/null
+++ b/io/diary/diary_test.go
@@ -0,0 +1,122 @@
+package diary
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+)
+
+// output gathers what is written.
+type output struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write takes a part.
+func (o *output) Write(b []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.buffer.Write(b)
+}
+
+// lines returns the lines that were written.
+func (o *output) lines() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return strings.Split(strings.TrimSpace(o.buffer.String()), "\n")
+}
+
+// decision returns a decision about the request of a name.
+func decision(name string, failed bool) effect.Decision {
+	return effect.Decision{
+		Kind: effect.DecisionPlaced, Name: name, Entry: "desk-1", Attempt: 26, Failed: failed,
+		Facts: []effect.Fact{{Key: "guard", Text: "ledger-1"}, {Key: "left_us", Value: -7}},
+		Seen:  []effect.Seen{{Guard: "ledger-1", Busy: 1, Limit: 7, Slow: 400, Age: time.Millisecond}, {Guard: "ledger-2"}},
+	}
+}
+
+func TestLine(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"a1", "", "quote \" and \\ and \n", "ütf", "\xff"} {
+		line := lineOf(time.Unix(0, 0), decision(name, true))
+		var got struct {
+			Msg, Level, ID, Attempt, Guard string
+			Left                           int64 `json:"left_us"`
+			Seen                           []struct{ Guard string }
+		}
+		c.Assert(json.Unmarshal(line, &got), qt.IsNil, qt.Commentf("%s", line))
+		c.Check(got.Msg, qt.Equals, "placed")
+		c.Check(got.Level, qt.Equals, "WARN")
+		c.Check(got.Attempt, qt.Equals, "desk-1.1a")
+		c.Check(got.Left, qt.Equals, int64(-7))
+		c.Check(got.Seen, qt.HasLen, 2)
+		if name != "\xff" {
+			c.Check(got.ID, qt.Equals, name)
+		}
+	}
+}
+
+// A reader that does not read delays nobody, and what it misses is counted.
+func TestBlockedOutputDelaysNobody(t *testing.T) {
+	c := qt.New(t)
+	r, w := io.Pipe()
+	d := New(Options{Out: w, Rate: 1 << 20})
+	now := time.Unix(1000, 0)
+	for i := range 4 * ringSize {
+		d.Decide(now, decision(fmt.Sprint(i), false))
+	}
+	lost, _ := d.Dropped()
+	c.Check(lost > 0, qt.IsTrue)
+	_ = r.Close()
+	d.Close()
+}
+
+// At ten times the rate the lines of whole requests are left out, the same ones on
+// every node, and those of failures are not.
+func TestRateBoundsTheLines(t *testing.T) {
+	c := qt.New(t)
+	const rate, seconds = 100, 5
+	kept := make([]map[string]int, 2)
+	for n := range kept {
+		kept[n] = make(map[string]int)
+		var out output
+		d := New(Options{Out: &out, Rate: rate})
+		now := time.Unix(1000, 0)
+		for i := range 10 * rate * seconds {
+			now = now.Add(time.Second / (10 * rate))
+			d.Decide(now, decision(fmt.Sprintf("r%d", i/5), i%50 == 49))
+			if i%64 == 0 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		d.Close()
+		failures := 0
+		for _, line := range out.lines() {
+			if strings.Contains(line, "WARN") {
+				failures++
+				continue
+			}
+			var got struct{ ID string }
+			c.Assert(json.Unmarshal([]byte(line), &got), qt.IsNil, qt.Commentf("%s", line))
+			kept[n][got.ID]++
+		}
+		c.Check(failures, qt.Equals, 10*rate*seconds/50)
+		total := 0
+		for _, count := range kept[n] {
+			total += count
+		}
+		// The first second is judged only when it is over.
+		c.Check(total <= 10*rate+2*rate*(seconds-1), qt.IsTrue, qt.Commentf("%d", total))
+		c.Check(total > 0, qt.IsTrue)
+	}
+	c.Check(kept[0], qt.DeepEquals, kept[1])
+}
--- /dev/null
+++ b/io/gram/gram_test.go
@@ -0,0 +1,122 @@
+package gram
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/effect"
+	"bulrushlock/core/event"
+	"bulrushlock/core/fleet"
+	"bulrushlock/core/node"
+	"bulrushlock/core/pick"
+	"bulrushlock/core/report"
+	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
+	"bulrushlock/io/loop"
+)
+
+// newGram returns the datagrams of a node with its address.
+func newGram(c *qt.C, name string) (*Gram, *loop.Loop, fleet.Instance) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	c.Assert(err, qt.IsNil)
+	self := ticket.Node{Instance: name, Incarnation: 7}
+	n := node.New(node.Identity{Instance: name, Incarnation: 7, Centre: "north", Service: "ledger"}, pick.NewAware())
+	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(effect.Effect) {}})
+	g := New(l, Options{Node: self, Conn: conn, Logger: slog.New(slog.DiscardHandler)})
+	c.Cleanup(func() {
+		g.Close()
+		l.Stop()
+	})
+	return g, l, fleet.Instance{Name: name, Control: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+}
+
+func TestSurvey(t *testing.T) {
+	c := qt.New(t)
+	g, _, _ := newGram(c, "desk-1")
+	_, _, first := newGram(c, "ledger-1")
+	_, _, second := newGram(c, "ledger-2")
+	gone := fleet.Instance{Name: "ledger-3", Control: netip.MustParseAddrPort("127.0.0.1:1")}
+	loads := g.Survey(context.Background(), []fleet.Instance{first, second, gone})
+	names := make(map[string]bool)
+	for _, l := range loads {
+		names[l.Guard.Instance] = true
+		c.Check(l.Guard.Incarnation, qt.Equals, uint64(7))
+	}
+	c.Check(names, qt.DeepEquals, map[string]bool{"ledger-1": true, "ledger-2": true})
+	c.Check(g.surveys, qt.HasLen, 0)
+}
+
+func TestCast(t *testing.T) {
+	c := qt.New(t)
+	g, _, _ := newGram(c, "desk-1")
+	_, l, peer := newGram(c, "ledger-1")
+	const rule = "service ledger slots=4   # Test: one service\n"
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: rule, Revision: 3})
+	_, held := l.Load()
+	v := event.Versions{Rules: view.Version{Revision: 9, Digest: held.Rules.Digest}}
+	for range 1000 {
+		g.Cast(effect.Cast{Peers: []fleet.Instance{peer}, Versions: v})
+		if _, now := l.Load(); now.Rules.Revision == 9 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.Fatal("the versions were not told")
+}
+
+// What is written is read again, and no other bytes are taken for it.
+func TestFormOfDatagrams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 1<<20)
+		m := message{Kind: kind(rapid.IntRange(1, 3).Draw(t, "kind")), Number: rapid.Uint64().Draw(t, "number")}
+		if m.Kind != kindAsk {
+			m.From = ticket.Node{Instance: rapid.StringMatching(`[a-z0-9-]{1,32}`).Draw(t, "name"), Incarnation: rapid.Uint64().Draw(t, "life")}
+		}
+		if m.Kind == kindLoad {
+			m.Load = report.Load{
+				InFlight: count.Draw(t, "busy"), Queued: count.Draw(t, "queued"), Limit: count.Draw(t, "limit"), Slow: count.Draw(t, "slow"),
+				Wait: time.Duration(count.Draw(t, "wait")) * time.Microsecond,
+				Cold: rapid.Bool().Draw(t, "cold"), Ill: rapid.Bool().Draw(t, "ill"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			}
+		}
+		if m.Kind == kindCast {
+			m.Versions.Rules = view.Version{Revision: rapid.Uint64().Draw(t, "rules"), Digest: rapid.Uint64().Draw(t, "digest")}
+			m.Versions.Age = time.Duration(count.Draw(t, "age"))
+		}
+		b := m.append(nil)
+		got, err := parse(b)
+		if err != nil || got != m {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		for cut := range b {
+			if _, err := parse(b[:cut]); err == nil {
+				t.Fatalf("%d of %d bytes were read", cut, len(b))
+			}
+		}
+		var fault *FormError
+		if _, err := parse(append(b, 0)); !errors.As(err, &fault) {
+			t.Fatal("a longer datagram was read")
+		}
+	})
+}
+
+// FuzzParse feeds any bytes as a datagram.
+func FuzzParse(f *testing.F) {
+	f.Add(message{Kind: kindAsk, Number: 1}.append(nil))
+	f.Add([]byte{form, byte(kindCast)})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := parse(b)
+		if err == nil && m.Kind == 0 {
+			t.Fatal("no kind")
+		}
+	})
+}
