--- a/cmd/main.go
+++ b/cmd/main.go
@@ -39,6 +39,7 @@
 	registerStand,
 	registerStatus,
 	registerTimeline,
+	registerTrace,
 	registerTrial,
 	registerVersion,
 	registerMeasure,
