feat(core): push new versions peer to peer, look where it tells something

Change: a new version is told to four peers, each of whom tells four; documents travel compressed and have 1.5 s; a guard looks seldom while it is idle, and not where an answer has just told the load.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -50,7 +50,7 @@
 	// checks is the number of peers that are asked whether a view is still the newest.
 	checks = 3
 	// fetchTime is the time for which a version is not asked of a second peer.
-	fetchTime = 500 * time.Millisecond
+	fetchTime = 800 * time.Millisecond
 	// lapseAge is the age of the list of instances from which the platform may have
 	// been away, so that entries of live instances have run out.
 	lapseAge = 3 * time.Second
@@ -157,10 +157,7 @@
 	out = append(out, effect.Note{Kind: kind, Text: fmt.Sprintf("revision %d from %s", e.Revision, sourceName(e.From))})
 	confirmation, out := g.confirmed(e, out)
 	change.Trust = confirmation.Trust
-	if e.From.Peer == "" {
-		return change, g.castAll(e.At, out)
-	}
-	return change, g.tell(e.At, random, pushes, out)
+	return change, g.push(e.At, random, out)
 }
 
 // sourceName returns the name of a source for the time line.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -191,6 +191,7 @@
 	if e.At.Sub(g.cast) < castTime {
 		return change, out
 	}
+	// Peers who do not hold the document by now read it here.
 	return change, g.castAll(e.At, out)
 }
 
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -138,8 +138,10 @@
 		_, out := g.Read(e, random<<32, nil)
 		told := map[string]bool{}
 		for _, e := range out {
-			if e, ok := e.(effect.Tell); ok {
-				told[e.Peer.Name] = true
+			if e, ok := e.(effect.Cast); ok {
+				for _, p := range e.Peers {
+					told[p.Name] = true
+				}
 			}
 		}
 		c.Assert(told, qt.HasLen, 4)
--- a/core/gossip/told.go
+++ b/core/gossip/told.go
@@ -13,20 +13,38 @@
 
 // tell exchanges versions with up to count random peers.
 func (g *Gossip) tell(at time.Time, random uint64, count int, out []effect.Effect) []effect.Effect {
+	versions := g.Versions(at)
+	for _, p := range g.some(random, count) {
+		out = append(out, effect.Tell{Peer: p, Versions: versions})
+	}
+	return out
+}
+
+// push tells a few random peers of a new version, who read it here and tell others in
+// turn. Told at once, all would read a large document from one small instance.
+func (g *Gossip) push(at time.Time, random uint64, out []effect.Effect) []effect.Effect {
+	g.cast = at
+	if len(g.others) == 0 {
+		return out
+	}
+	return append(out, effect.Cast{Peers: g.some(random, pushes), Versions: g.Versions(at)})
+}
+
+// some returns up to count different random peers.
+func (g *Gossip) some(random uint64, count int) []fleet.Instance {
 	total := uint64(len(g.others))
 	if total == 0 {
-		return out
+		return nil
 	}
-	versions := g.Versions(at)
 	stride := 1 + (random>>32)%total
 	for hasCommonFactor(stride, total) {
 		stride++
 	}
+	peers := make([]fleet.Instance, 0, count)
 	for i := range min(uint64(count), total) {
-		p := g.others[(random+i*stride)%total]
-		out = append(out, effect.Tell{Peer: p, Versions: versions})
+		peers = append(peers, g.others[(random+i*stride)%total])
 	}
-	return out
+	return peers
 }
 
 // hasCommonFactor reports whether steps of a visit less than all of b peers.
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -14,6 +14,7 @@
 
 // Attempt decides on an attempt that has arrived.
 func (g *Guard) Attempt(e event.Attempt, gate Gate, out []effect.Effect) []effect.Effect {
+	g.worked = e.At
 	if reason := g.misaddressed(e.Ticket); reason != "" {
 		return deny(e, effect.NotRun, reason, out)
 	}
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -101,6 +101,9 @@
 	// sight is the load that the backend server told last, at the time sighted.
 	sight   event.Sight
 	sighted time.Time
+	// looked is the time of the last look, and worked that of the last attempt.
+	looked time.Time
+	worked time.Time
 	// foreign is the number of requests that run there and were not admitted here.
 	foreign int
 	// failing tells that the backend server called itself unfit when it was last
--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -281,3 +281,33 @@
 func listedLife(life string) fleet.Instance {
 	return fleet.Instance{Name: self.Instance, Service: "ledger", Life: life, Slots: 9}
 }
+
+// Looks get rare while no work comes, and answers that tell the load save some.
+func TestLooksFollowTheWork(t *testing.T) {
+	c := qt.New(t)
+	r := newReplay(c, replayRule)
+	r.look(0)
+	count := func(seconds int, each func(i int)) int {
+		looks := 0
+		for i := range seconds * 20 {
+			r.now = r.now.Add(50 * time.Millisecond)
+			each(i)
+			if r.guard.WantsLook(r.now) {
+				looks++
+				r.look(0)
+			}
+		}
+		return looks
+	}
+	c.Check(count(10, func(int) {}) <= 10*4+1, qt.IsTrue)
+	busy := count(10, func(int) {
+		r.send(replayAim, 0, 3)
+		for a := range r.ends {
+			delete(r.ends, a)
+			r.run(r.guard.Served(event.Served{
+				At: r.now, Arrival: a, Status: 200, Spent: time.Millisecond, Sight: &event.Sight{Slots: 9, Slow: 100},
+			}, nil))
+		}
+	})
+	c.Check(busy >= 10*9 && busy <= 10*11, qt.IsTrue, qt.Commentf("%d", busy))
+}
--- a/core/guard/look.go
+++ b/core/guard/look.go
@@ -16,6 +16,7 @@
 		return g.grant(e.At, out)
 	}
 	g.down = false
+	g.looked = e.At
 	g.draining = e.Condition == event.Draining
 	g.failing = e.Condition == event.Failing
 	if e.Life != "" {
@@ -29,6 +30,30 @@
 	return g.grant(e.At, out)
 }
 
+const (
+	// sightTime is the age up to which the load that rode on an answer is as good as a look.
+	sightTime = 40 * time.Millisecond
+	// coldTime is the longest time between two looks while work comes: only a look
+	// tells of a cold start.
+	coldTime = 100 * time.Millisecond
+	// idleTime is the time without an attempt after which looks get rare, and idleLook
+	// the time between two of them then.
+	idleTime = time.Second
+	idleLook = 250 * time.Millisecond
+)
+
+// WantsLook reports whether a look would tell the guard something that it needs.
+func (g *Guard) WantsLook(now time.Time) bool {
+	since := now.Sub(g.looked)
+	switch {
+	case !g.isPaced() || g.pace.IsCold(now):
+		return true
+	case now.Sub(g.worked) > idleTime:
+		return since >= idleLook
+	}
+	return now.Sub(g.sighted) >= sightTime || since >= coldTime
+}
+
 // lookedCold takes over whether a look has found the backend server cold.
 func (g *Guard) lookedCold(e event.Looked, out []effect.Effect) []effect.Effect {
 	isCold := e.Condition == event.Cold || e.ColdLeft > 0
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -132,7 +132,7 @@
 	change, out := n.gossip.Tick(e, paused, out)
 	out = n.apply(e.At, change, out)
 	out = n.guard.Tick(e.At, out)
-	if n.looks.Take(e.At, 1) {
+	if n.guard.WantsLook(e.At) && n.looks.Take(e.At, 1) {
 		out = append(out, effect.Look{Path: n.guard.LookPath()})
 	}
 	return n.probe(e, out)
--- a/io/carry/carry.go
+++ b/io/carry/carry.go
@@ -165,13 +165,13 @@
 
 // fetchFrom reads a document from the node at peer.
 func (c *Carrier) fetchFrom(peer netip.AddrPort, from event.Source, d event.Document) {
-	a, err := c.wire.Fetch(c.context, peer, d)
+	text, revision, err := c.wire.Fetch(c.context, peer, d)
 	now := time.Now()
-	if err != nil || a.Revision == 0 {
+	if err != nil || revision == 0 {
 		c.loop.Do(event.Unread{At: now, Document: d, From: from})
 		return
 	}
-	c.loop.Do(event.Read{At: now, Document: d, From: from, Text: a.Text, Revision: a.Revision})
+	c.loop.Do(event.Read{At: now, Document: d, From: from, Text: text, Revision: revision})
 }
 
 // tell exchanges versions with a peer.
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -115,7 +115,8 @@
 	case effect.ReasonDepth:
 		return http.StatusLoopDetected
 	case effect.ReasonDeadline:
-		if e.Outcome != effect.NotRun {
+		// Callers who know no outcomes read from a 503 that the request did not run.
+		if e.Outcome != effect.NotRun || !v.front.options.Mute {
 			return http.StatusGatewayTimeout
 		}
 	}
--- a/io/wire/answer.go
+++ b/io/wire/answer.go
@@ -57,7 +57,8 @@
 
 // FetchAnswer holds a document.
 type FetchAnswer struct {
-	Text     string
+	// Packed is the compressed text.
+	Packed   []byte
 	Revision uint64
 }
 
@@ -118,8 +119,11 @@
 
 // Fetch returns a document.
 func (a *answerer) Fetch(q FetchQuestion, r *FetchAnswer) error {
-	a.wire.loop.View(func(n *node.Node) { r.Text, r.Revision = n.Text(q.Document) })
-	return nil
+	var text string
+	a.wire.loop.View(func(n *node.Node) { text, r.Revision = n.Text(q.Document) })
+	var err error
+	r.Packed, err = a.wire.packer.pack(q.Document, text)
+	return err
 }
 
 // Probe returns the load of the guard.
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -24,8 +24,13 @@
 	"bulrushlock/io/meter"
 )
 
-// callTime is the longest time of one call, from dialling to the answer.
-const callTime = 400 * time.Millisecond
+const (
+	// callTime is the longest time of one call, from dialling to the answer.
+	callTime = 400 * time.Millisecond
+	// fetchTime is that of a call whose answer is a document, which takes a small
+	// instance with a slow link some time to send.
+	fetchTime = 1500 * time.Millisecond
+)
 
 // Wire makes the calls to other nodes and answers theirs.
 type Wire struct {
@@ -35,6 +40,7 @@
 	dial meter.DialFunc
 	// control is the address at which other nodes reach this one.
 	control netip.AddrPort
+	packer  packer
 }
 
 // CallError is a call that got no answer in time.
@@ -73,7 +79,11 @@
 
 // call makes one call on a connection of its own.
 func (w *Wire) call(ctx context.Context, peer netip.AddrPort, method string, question, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+	longest := callTime
+	if method == "Fetch" {
+		longest = fetchTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	c, err := w.dial(ctx, "tcp", peer.String())
 	if err != nil {
@@ -137,10 +147,16 @@
 }
 
 // Fetch reads a document that the node at peer holds.
-func (w *Wire) Fetch(ctx context.Context, peer netip.AddrPort, d event.Document) (FetchAnswer, error) {
+func (w *Wire) Fetch(ctx context.Context, peer netip.AddrPort, d event.Document) (text string, revision uint64, err error) {
 	var a FetchAnswer
-	err := w.call(ctx, peer, "Fetch", FetchQuestion{Document: d}, &a)
-	return a, err
+	if err := w.call(ctx, peer, "Fetch", FetchQuestion{Document: d}, &a); err != nil {
+		return "", 0, err
+	}
+	text, err = unpack(a.Packed)
+	if err != nil {
+		return "", 0, &CallError{Method: "Fetch", Peer: peer, Cause: err}
+	}
+	return text, a.Revision, nil
 }
 
 // Probe asks the guard at peer for its load.
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -57,9 +57,10 @@
 	c.Check(told.From, qt.Equals, two)
 	c.Check(told.Versions.Rules.Revision, qt.Equals, uint64(3))
 
-	fetched, err := w.Fetch(ctx, peer, event.Rules)
+	text, revision, err := w.Fetch(ctx, peer, event.Rules)
 	c.Assert(err, qt.IsNil)
-	c.Check(fetched, qt.Equals, FetchAnswer{Text: testRules, Revision: 3})
+	c.Check(text, qt.Equals, testRules)
+	c.Check(revision, qt.Equals, uint64(3))
 
 	probed, err := w.Probe(ctx, peer)
 	c.Assert(err, qt.IsNil)
