--- a/io/daemon/gauge.go
+++ b/io/daemon/gauge.go
@@ -18,6 +18,12 @@
 	cold     tally.Gauge
 	closed   tally.Gauge
 	requests tally.Gauge
+	fleet    tally.Gauge
+	fleetAge tally.Gauge
+	slow     tally.Gauge
+	reads    tally.Gauge
+	lost     tally.Gauge
+	left     tally.Gauge
 }
 
 // newGauges returns the gauges of a scope.
@@ -31,6 +37,12 @@
 		cold:     s.Gauge("server_cold"),
 		closed:   s.Gauge("closed"),
 		requests: s.Gauge("requests_open"),
+		fleet:    s.Gauge("fleet_revision"),
+		fleetAge: s.Gauge("fleet_age"),
+		slow:     s.Gauge("server_slow"),
+		reads:    s.Gauge("platform_reader"),
+		lost:     s.Gauge("log_lost"),
+		left:     s.Gauge("log_left"),
 	}
 }
 
@@ -44,8 +56,15 @@
 	g.cold.Update(truth(s.Load.Cold))
 	g.closed.Update(truth(s.Closed != "" || s.Load.Leaving))
 	g.requests.Update(float64(s.Requests))
+	g.fleet.Update(float64(s.Versions.Fleet.Revision))
+	g.fleetAge.Update(s.Versions.FleetAge.Seconds())
+	g.slow.Update(float64(s.Load.Slow) / percent)
+	g.reads.Update(truth(s.Watches))
 }
 
+// percent is the slowness of a backend server that works as usual.
+const percent = 100
+
 // truth returns 1 for true and 0 for false.
 func truth(b bool) float64 {
 	if b {
@@ -62,6 +81,11 @@
 		var s node.Status
 		d.loop.View(func(n *node.Node) { s = n.Status(time.Now()) })
 		g.update(s)
+		if book, ok := d.diary.(interface{ Dropped() (lost, left uint64) }); ok {
+			lost, left := book.Dropped()
+			g.lost.Update(float64(lost))
+			g.left.Update(float64(left))
+		}
 		select {
 		case <-t.C:
 		case <-d.ended:
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -71,10 +71,12 @@
 	boxes   map[uint64]chan effect.Effect
 	next    uint64
 	effects []effect.Effect
-	clock   *clock.Clock
-	ring    *trace.Ring[Record]
-	stop    chan struct{}
-	stopped sync.WaitGroup
+	// counters hold the counters of decisions, of which there are few kinds.
+	counters map[verdict]tally.Counter
+	clock    *clock.Clock
+	ring     *trace.Ring[Record]
+	stop     chan struct{}
+	stopped  sync.WaitGroup
 }
 
 // New starts n and its ticks.
@@ -83,9 +85,11 @@
 		options: o,
 		node:    n,
 		boxes:   make(map[uint64]chan effect.Effect),
-		clock:   clock.New(),
-		ring:    trace.New[Record](ringSize),
-		stop:    make(chan struct{}),
+
+		counters: make(map[verdict]tally.Counter),
+		clock:    clock.New(),
+		ring:     trace.New[Record](ringSize),
+		stop:     make(chan struct{}),
 	}
 	l.mutex.Lock()
 	l.dispatch(n.Start(tickNow(), nil))
@@ -172,9 +176,7 @@
 		case effect.Note:
 			l.note(e)
 		case effect.Decision:
-			if l.options.Diary != nil {
-				l.options.Diary.Decide(time.Now(), e)
-			}
+			l.decided(e)
 		case effect.Count:
 			l.options.Scope.Counter(e.Name).Inc(1)
 		default:
@@ -183,6 +185,31 @@
 	}
 }
 
+// verdict is what decisions are counted by.
+type verdict struct {
+	kind   effect.DecisionKind
+	reason string
+}
+
+// decided counts a decision and writes it down. The mutex is held.
+func (l *Loop) decided(e effect.Decision) {
+	v := verdict{kind: e.Kind}
+	for _, f := range e.Facts {
+		if f.Key == "reason" {
+			v.reason = f.Text
+		}
+	}
+	c, ok := l.counters[v]
+	if !ok {
+		c = l.options.Scope.Tagged(map[string]string{"kind": string(v.kind), "reason": v.reason}).Counter("decisions")
+		l.counters[v] = c
+	}
+	c.Inc(1)
+	if l.options.Diary != nil {
+		l.options.Diary.Decide(time.Now(), e)
+	}
+}
+
 // deliver puts e into the box that it belongs to, or has it carried out.
 func (l *Loop) deliver(e effect.Effect) {
 	id, ok := target(e)
