--- a/io/daemon/gauge_test.go
+++ b/io/daemon/gauge_test.go
@@ -18,8 +18,9 @@
 	c := qt.New(t)
 	scope := tally.NewTestScope("", nil)
 	newGauges(scope).update(node.Status{
-		Versions: event.Versions{Rules: view.Version{Revision: 3}, Age: 1500 * time.Millisecond},
-		Load:     report.Load{InFlight: 4, Queued: 1, Limit: 10, Cold: true},
+		Versions: event.Versions{Rules: view.Version{Revision: 3}, Fleet: view.Version{Revision: 4}, Age: 1500 * time.Millisecond, FleetAge: time.Second},
+		Load:     report.Load{InFlight: 4, Queued: 1, Limit: 10, Slow: 250, Cold: true},
+		Watches:  true,
 		Closed:   effect.ReasonOut,
 		Requests: 5,
 	})
@@ -28,13 +29,19 @@
 		got[g.Name()] = g.Value()
 	}
 	c.Check(got, qt.DeepEquals, map[string]float64{
-		"rules_revision": 3,
-		"rules_age":      1.5,
-		"server_busy":    4,
-		"server_queued":  1,
-		"server_limit":   10,
-		"server_cold":    1,
-		"closed":         1,
-		"requests_open":  5,
+		"rules_revision":  3,
+		"rules_age":       1.5,
+		"server_busy":     4,
+		"server_queued":   1,
+		"server_limit":    10,
+		"server_cold":     1,
+		"closed":          1,
+		"requests_open":   5,
+		"fleet_revision":  4,
+		"fleet_age":       1,
+		"server_slow":     2.5,
+		"platform_reader": 1,
+		"log_lost":        0,
+		"log_left":        0,
 	})
 }
