feat(core/entry): late work where there is much room, extra attempts by service

Extra attempts saved up for one service could all go to another, and 86 entries could spend 860 at once.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -56,6 +56,12 @@
 	b.share = min(fixed(share), unit)
 }
 
+// SetReserve changes the most that the balance may hold. What it holds above is lost.
+func (b *Budget) SetReserve(reserve float64) {
+	b.most = max(fixed(reserve), unit)
+	b.balance = min(b.balance, b.most)
+}
+
 // fixed returns n in millionths, rounded down, and no less than 0.
 func fixed(n float64) int64 {
 	return int64(max(n, 0) * unit)
--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -108,7 +108,7 @@
 	if c.spent || c.isKeyed() || !n.hasUntried(now, c) {
 		return false
 	}
-	return c.sent == 0 || n.retries.Spend()
+	return c.sent == 0 || n.extraOf(c.service).retries.Spend()
 }
 
 // hasReached reports whether an attempt that ended so may have reached a backend server.
--- a/core/entry/call.go
+++ b/core/entry/call.go
@@ -127,8 +127,9 @@
 	if c.recovers && !r.Idempotent {
 		return n.ask(e.At, c, 0, out)
 	}
-	n.retries.Deposit()
-	n.hedges.Deposit()
+	x := n.extraOf(c.service)
+	x.retries.Deposit()
+	x.hedges.Deposit()
 	if asked := n.survey(e.At, e.Random, c); len(asked) > 0 {
 		c.asking = true
 		return append(out, effect.Survey{ID: c.id, Peers: asked})
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -15,7 +15,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"bulrushlock/core/budget"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -32,8 +31,10 @@
 	statusServerError = 500
 	// mostAttempts is the largest number of attempts of one request.
 	mostAttempts = 4
-	// budgetReserve is the number of extra attempts that a quiet entry may make.
+	// budgetReserve is the largest number of extra attempts that a quiet entry may make
+	// at once for one service, and fleetReserve that of all entries of a fleet together.
 	budgetReserve = 10
+	fleetReserve  = 40
 )
 
 // Identity tells what an entry stands for.
@@ -58,8 +59,7 @@
 	classes  map[route]int
 	calls    map[uint64]*call
 	sequence uint64
-	retries  *budget.Budget
-	hedges   *budget.Budget
+	extras   map[string]*extra
 	delays   map[int]*delay
 	versions event.Versions
 	scratch  []pick.Candidate
@@ -91,8 +91,7 @@
 		services: make(map[string][]*peer),
 		classes:  make(map[route]int),
 		calls:    make(map[uint64]*call),
-		retries:  budget.New(0, budgetReserve),
-		hedges:   budget.New(0, 1),
+		extras:   make(map[string]*extra),
 		delays:   make(map[int]*delay),
 		shares:   make(map[int]*share.Share),
 		spans:    make(map[int]*span.Span),
@@ -105,6 +104,9 @@
 	n.set = s
 	n.applyRoutes(s)
 	n.applyPeers(instances)
+	for _, e := range n.extras {
+		e.retries.SetReserve(n.reserve())
+	}
 	clear(n.services)
 	for _, i := range instances {
 		if i.Leaving || s.IsOut(i.Name, i.Centre) {
@@ -127,8 +129,13 @@
 		alive[class] = true
 	}
 	maps.DeleteFunc(n.spans, func(class int, _ *span.Span) bool { return !alive[class] })
-	n.retries.SetShare(s.Budget.Retry)
-	n.hedges.SetShare(s.Budget.Hedge)
+	maps.DeleteFunc(n.extras, func(name string, _ *extra) bool {
+		_, ok := s.Service(name)
+		return !ok
+	})
+	for _, e := range n.extras {
+		e.setShares(s)
+	}
 }
 
 // classOf returns the class of the requests of r, which is the same on every node
@@ -224,5 +231,5 @@
 		out = append(out, effect.Note{Kind: effect.KindUnknown, Text: string(r), Ticket: t})
 	}
 	reply := effect.Reply{ID: c.id, Outcome: o, Reason: r, Ticket: t, Retry: n.retryAfter(now, c, r)}
-	return append(noteFailed(now, c, reply, out), reply)
+	return append(n.noteFailed(now, c, reply, out), reply)
 }
--- a/core/entry/hedge.go
+++ b/core/entry/hedge.go
@@ -105,7 +105,7 @@
 	if p == nil || n.identity.Ask > 0 && !n.helps(now, c, p) {
 		return out
 	}
-	if !n.hedges.Spend() {
+	if !n.extraOf(c.service).hedges.Spend() {
 		return append(out, effect.Count{Name: "hedge_denied"})
 	}
 	out = append(out, effect.Count{Name: "hedge"})
--- a/core/entry/note.go
+++ b/core/entry/note.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -33,16 +34,23 @@
 			{Key: "left_us", Value: c.deadline.Sub(now).Microseconds()},
 		},
 	}
+	d.Seen = n.seen(now, c)
+	return append(out, d)
+}
+
+// seen returns what guards of the service of c have told lately.
+func (n *Entry) seen(now time.Time, c *call) []effect.Seen {
+	var seen []effect.Seen
 	for _, p := range n.services[c.service] {
 		age := now.Sub(p.reported)
 		if age > seenTime {
 			continue
 		}
-		d.Seen = append(d.Seen, effect.Seen{
+		seen = append(seen, effect.Seen{
 			Guard: p.instance.Name, Busy: p.load.InFlight, Limit: p.load.Limit, Slow: p.load.Slow, Wait: p.load.Wait, Age: age,
 		})
 	}
-	return append(out, d)
+	return seen
 }
 
 // seenTime is the age up to which a load is told among the inputs of a choice.
@@ -55,7 +63,7 @@
 		Facts: []effect.Fact{
 			{Key: "guard", Text: e.Ticket.Guard.Instance},
 			{Key: "verdict", Text: e.Verdict.String()},
-			{Key: "reason", Text: e.Reason},
+			{Key: "reason", Text: cmp.Or(e.Reason, "none")},
 			{Key: "status", Value: int64(e.Status)},
 			{Key: "spent_us", Value: e.Spent.Microseconds()},
 		},
@@ -79,9 +87,9 @@
 }
 
 // noteFailed tells of the answer r that the entry itself gives the caller of c.
-func noteFailed(now time.Time, c *call, r effect.Reply, out []effect.Effect) []effect.Effect {
+func (n *Entry) noteFailed(now time.Time, c *call, r effect.Reply, out []effect.Effect) []effect.Effect {
 	return append(out, effect.Decision{
-		Kind: effect.DecisionFailed, Name: c.name, Failed: true,
+		Kind: effect.DecisionFailed, Name: c.name, Failed: true, Seen: n.seen(now, c),
 		Facts: []effect.Fact{
 			{Key: "outcome", Text: r.Outcome.String()},
 			{Key: "reason", Text: string(r.Reason)},
@@ -89,6 +97,8 @@
 			{Key: "attempts", Value: int64(c.attempts)},
 			{Key: "waited_us", Value: c.waited.Microseconds()},
 			{Key: "total_us", Value: now.Sub(c.began).Microseconds()},
+			{Key: "takes_us", Value: n.usualOf(c).Microseconds()},
+			{Key: "aim_us", Value: c.aimLeft(now).Microseconds()},
 			{Key: "retry_us", Value: r.Retry.Microseconds()},
 		},
 	})
--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -60,11 +60,36 @@
 			c.asking = true
 			return append(out, effect.Survey{ID: c.id, Peers: asked})
 		}
+		if p := n.spare(e.At, c); p != nil {
+			return n.send(e.At, e.Random, c, p, out)
+		}
 		return n.reply(e.At, c, effect.NotRun, effect.ReasonBusy, out)
 	}
 	return n.forward(e.At, e.Random, c, effect.ReasonServers, out)
 }
 
+// spareShare is the share of its limit up to which a backend server takes work that
+// it is expected to answer late.
+const spareShare = 0.5
+
+// spare returns the peer that is best for c among those with so much room that c takes
+// nobody's place there, or nil. A late answer is better than none, and a slow stretch
+// may end before the work does.
+func (n *Entry) spare(now time.Time, c *call) *peer {
+	var best *peer
+	for _, p := range n.services[c.service] {
+		l := p.load
+		free := l.Limit > 0 && l.Wait == 0 && float64(l.InFlight+p.sent) < spareShare*float64(l.Limit)
+		if !free || l.Cold || l.Ill || c.hasTried(p.instance.Name) || p.isLeaving(now) || now.Sub(p.reported) > seenTime {
+			continue
+		}
+		if best == nil || l.Slow < best.load.Slow || l.Slow == best.load.Slow && l.InFlight+p.sent < best.load.InFlight+best.sent {
+			best = p
+		}
+	}
+	return best
+}
+
 const (
 	// mostSurveys is the number of times that guards are asked for one attempt.
 	mostSurveys = 2
--- a/core/entry/survey_test.go
+++ b/core/entry/survey_test.go
@@ -256,3 +256,80 @@
 	c.Check(isAsked(at.Add(100*time.Millisecond)), qt.IsFalse)
 	c.Check(isAsked(at.Add(time.Second)), qt.IsTrue)
 }
+
+// Load at its worst while machines are slow: where the fast guards are full, late work
+// goes to a slow one with much room rather than back to its caller, and takes nobody's
+// place.
+func TestLateWorkTakesRoomThatNobodyNeeds(t *testing.T) {
+	tests := []struct {
+		name string
+		busy int
+		slow bool
+		sent bool
+	}{
+		{name: "much room", busy: 1, slow: true, sent: true},
+		{name: "little room", busy: 5, slow: true},
+		{name: "no room", busy: 7},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newAsking(c)
+			at := learn(c, n)
+			full := report.Load{Limit: 7, Slow: 100, InFlight: 7, Wait: 20 * time.Millisecond}
+			slow := report.Load{Limit: 7, Slow: 800, InFlight: tt.busy}
+			if !tt.slow {
+				slow = full
+			}
+			s := find[effect.Survey](c, n.Request(get(1, "/lines", at, 2600*time.Millisecond), nil))
+			loads := told(at, s.Peers, full)
+			loads[2].Load = slow
+			out := n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: loads}, nil)
+			if has[effect.Survey](out) {
+				again := find[effect.Survey](c, out)
+				out = n.Surveyed(event.Surveyed{At: at, ID: 1, Loads: told(at, again.Peers, full)}, nil)
+			}
+			c.Check(has[effect.Forward](out), qt.Equals, tt.sent)
+			c.Check(has[effect.Reply](out), qt.Equals, !tt.sent)
+		})
+	}
+}
+
+// All entries of a fleet together stay within what a failing service may be sent twice.
+func TestExtraAttemptsOfAFleet(t *testing.T) {
+	for _, nodes := range []int{13, 59, 86} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			c := qt.New(t)
+			set, err := rules.Parse("budget retry=10% hedge=8%  # a: b\nservice ledger slots=9 rate=11  # a: b\n" +
+				"service archive slots=9 rate=11  # a: b\n" +
+				"route GET /lines service=ledger idempotent=yes tries=9  # a: b\nroute GET /old service=archive idempotent=yes tries=9  # a: b\n")
+			c.Assert(err, qt.IsNil)
+			var instances []fleet.Instance
+			for i := range nodes {
+				at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i%200 + 1)}), 1)
+				instances = append(instances, fleet.Instance{Name: fmt.Sprintf("i%d", i), Centre: "c", Service: "ledger", Nodes: at, Control: at})
+			}
+			extra, first := 0, 0
+			for i := range nodes {
+				n := entry.New(entry.Identity{Node: ticket.Node{Instance: fmt.Sprintf("i%d", i)}, Centre: "c"}, pick.NewAware())
+				n.Apply(set, instances)
+				// Much work for another service saves nothing up for this one.
+				for id := range uint64(200) {
+					n.Request(get(id, "/old", now, time.Second), nil)
+				}
+				for id := range uint64(20) {
+					first++
+					out := n.Request(get(1000+id, "/lines", now, time.Second), nil)
+					for has[effect.Forward](out) {
+						f := find[effect.Forward](c, out)
+						out = n.Answered(event.Answered{At: now, ID: f.ID, Ticket: f.Ticket, Verdict: event.Ran, Status: 500}, nil)
+						if has[effect.Forward](out) {
+							extra++
+						}
+					}
+				}
+			}
+			c.Check(extra <= 86+first/10, qt.IsTrue, qt.Commentf("%d of %d", extra, first))
+		})
+	}
+}
