fix: tell the versions to a node that started while the platform is away

The store was away, and nobody tells a node that it asks for its load anything else. Change: an answer says that the node is blank, and who asked tells it its versions.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -195,6 +195,7 @@
 		Slow:     g.slowness(now),
 		Cold:     g.isCold(now),
 		Ill:      g.isIll(now),
+		Blank:    g.limits.Name == "",
 		Leaving:  g.leaving || g.draining,
 	}
 }
--- a/core/report/load.go
+++ b/core/report/load.go
@@ -32,6 +32,9 @@
 	// Ill tells that the backend server calls itself unfit and that no request has
 	// shown otherwise.
 	Ill bool
+	// Blank tells that the node has just started and holds no rules. It does not travel
+	// in the text form.
+	Blank bool
 	// Leaving tells that the guard takes no new work.
 	Leaving bool
 }
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -140,6 +140,9 @@
 		g.send(message{Kind: kindLoad, Number: m.Number, From: g.options.Node, Load: load}, from)
 	case kindLoad:
 		g.answered(m)
+		if m.Load.Blank {
+			g.help(from)
+		}
 	case kindCast:
 		g.loop.Do(event.Told{
 			At: time.Now(), Peer: m.From.Instance, Control: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), Versions: m.Versions,
@@ -147,6 +150,15 @@
 	}
 }
 
+// help tells the versions that this node holds to one that holds none. It knows no
+// other node, and the platform may be away.
+func (g *Gram) help(to netip.AddrPort) {
+	_, v := g.loop.Load()
+	if v.Rules.Revision > 0 {
+		g.send(message{Kind: kindCast, From: g.options.Node, Versions: v}, to)
+	}
+}
+
 // answered takes the answer to a survey.
 func (g *Gram) answered(m message) {
 	g.mutex.Lock()
--- a/io/gram/gram_test.go
+++ b/io/gram/gram_test.go
@@ -73,6 +73,36 @@
 	c.Fatal("the versions were not told")
 }
 
+// A node that was started while the platform is away is found by those who ask it.
+func TestBlankNodeIsToldTheVersions(t *testing.T) {
+	c := qt.New(t)
+	g, l, _ := newGram(c, "desk-1")
+	const rule = "service ledger slots=4   # Test: one service\n"
+	l.Do(event.Read{At: time.Now(), Document: event.Rules, Text: rule, Revision: 3})
+	fetched := make(chan effect.Fetch, 8)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	c.Assert(err, qt.IsNil)
+	n := node.New(node.Identity{Instance: "ledger-1", Incarnation: 7, Centre: "north", Service: "ledger"}, pick.NewAware())
+	blank := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Carry: func(e effect.Effect) {
+		if f, ok := e.(effect.Fetch); ok && f.Peer != nil {
+			select {
+			case fetched <- f:
+			default:
+			}
+		}
+	}})
+	defer blank.Stop()
+	other := New(blank, Options{Node: ticket.Node{Instance: "ledger-1", Incarnation: 7}, Conn: conn, Logger: slog.New(slog.DiscardHandler)})
+	defer other.Close()
+	peer := fleet.Instance{Name: "ledger-1", Control: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	loads := g.Survey(context.Background(), []fleet.Instance{peer})
+	c.Assert(loads, qt.HasLen, 1)
+	c.Check(loads[0].Load.Blank, qt.IsTrue)
+	f := <-fetched
+	c.Check(f.Peer.Name, qt.Equals, "desk-1")
+	c.Check(f.Peer.Control, qt.Equals, g.options.Conn.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
 // What is written is read again, and no other bytes are taken for it.
 func TestFormOfDatagrams(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -85,7 +115,7 @@
 			m.Load = report.Load{
 				InFlight: count.Draw(t, "busy"), Queued: count.Draw(t, "queued"), Limit: count.Draw(t, "limit"), Slow: count.Draw(t, "slow"),
 				Wait: time.Duration(count.Draw(t, "wait")) * time.Microsecond,
-				Cold: rapid.Bool().Draw(t, "cold"), Ill: rapid.Bool().Draw(t, "ill"), Leaving: rapid.Bool().Draw(t, "leaving"),
+				Cold: rapid.Bool().Draw(t, "cold"), Ill: rapid.Bool().Draw(t, "ill"), Leaving: rapid.Bool().Draw(t, "leaving"), Blank: rapid.Bool().Draw(t, "blank"),
 			}
 		}
 		if m.Kind == kindCast {
--- a/io/gram/message.go
+++ b/io/gram/message.go
@@ -54,6 +54,7 @@
 	markCold = 1 << iota
 	markIll
 	markLeaving
+	markBlank
 )
 
 // append returns b with the form of m that travels.
@@ -95,6 +96,9 @@
 	if l.Leaving {
 		marks |= markLeaving
 	}
+	if l.Blank {
+		marks |= markBlank
+	}
 	return marks
 }
 
@@ -165,6 +169,7 @@
 		m.Load.Cold = marks&markCold != 0
 		m.Load.Ill = marks&markIll != 0
 		m.Load.Leaving = marks&markLeaving != 0
+		m.Load.Blank = marks&markBlank != 0
 	case kindCast:
 		v := &m.Versions
 		v.Rules.Revision, v.Rules.Digest = r.number(), r.number()
