--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -41,8 +41,8 @@
 const replayAim = 500 * time.Millisecond
 
 // newReplay returns a replay for a backend server of nine slots.
-func newReplay(c *qt.C, rule string) *replay {
-	set, err := rules.Parse(rule)
+func newReplay(c *qt.C) *replay {
+	set, err := rules.Parse(replayRule)
 	c.Assert(err, qt.IsNil)
 	g := guard.New(guard.Identity{Node: self, Service: "ledger"})
 	r := &replay{
@@ -132,7 +132,7 @@
 // in time, and the rest learns of it at once.
 func TestTwiceTheLoadIsAnsweredInTimeOrRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.look(0)
 	const seconds = 10
 	for i := range seconds * 1000 {
@@ -152,7 +152,7 @@
 // be served in time.
 func TestLateCallersGiveWay(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.look(0)
 	fresh := 0
 	for i := range 10_000 {
@@ -171,7 +171,7 @@
 // The machine is four times as slow for a quarter of the time, in stretches.
 func TestSlowStretches(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.slow = func(now time.Time) int {
 		if now.UnixMilli()%1200 < 300 {
 			return 400
@@ -191,7 +191,7 @@
 // Calls of running requests are short, and find room when long work fills the rest.
 func TestShortWorkFindsRoom(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.work[1] = 40 * time.Millisecond
 	r.look(0)
 	calls := 0
@@ -217,7 +217,7 @@
 // work that can be in time.
 func TestColdStartUnderFullLoad(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	starts := 0
 	for i := range 3000 {
 		before := len(r.ends)
@@ -241,7 +241,7 @@
 // What runs on a backend server that hangs or is much slower than it tells shows it.
 func TestHangingWorkTellsOfASlowBackendServer(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.look(0)
 	for i := range 2000 {
 		r.step()
@@ -263,7 +263,7 @@
 // Another life of the backend server than the listed one answers at the address.
 func TestNothingIsSentToAnotherLife(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.guard.SetListed(listedLife("i-1"))
 	r.run(r.guard.Looked(event.Looked{At: r.now, Life: "i-1", Sight: &event.Sight{Slots: 9, Slow: 100}}, nil))
 	r.send(replayAim, 0, 3)
@@ -285,7 +285,7 @@
 // Looks get rare while no work comes, and answers that tell the load save some.
 func TestLooksFollowTheWork(t *testing.T) {
 	c := qt.New(t)
-	r := newReplay(c, replayRule)
+	r := newReplay(c)
 	r.look(0)
 	count := func(seconds int, each func(i int)) int {
 		looks := 0
--- a/io/turns/conn.go
+++ b/io/turns/conn.go
@@ -57,7 +57,7 @@
 // Write writes a part of a request.
 func (m marking) Write(b []byte) (int, error) {
 	m.conn.wrote.Store(true)
-	return m.conn.Conn.Write(b)
+	return m.conn.Write(b)
 }
 
 // noting is the body of a request, which notes that it was read. A body that the
--- a/io/turns/turns_test.go
+++ b/io/turns/turns_test.go
@@ -218,6 +218,7 @@
 		c.Assert(err, qt.IsNil)
 		got, err := io.ReadAll(a.Body)
 		c.Assert(err, qt.IsNil)
+		c.Assert(a.Body.Close(), qt.IsNil)
 		c.Assert(string(got), qt.Equals, fmt.Sprint(i))
 	}
 }
@@ -278,6 +279,7 @@
 	c.Assert(err, qt.IsNil)
 	got, err := io.ReadAll(a.Body)
 	c.Assert(err, qt.IsNil)
+	c.Assert(a.Body.Close(), qt.IsNil)
 	c.Check(string(got), qt.Equals, "early")
 	got2, err := send(c, tr, "http://"+l.Addr().String())
 	c.Assert(err, qt.IsNil)
@@ -297,7 +299,7 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	c.Assert(err, qt.IsNil)
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err = newTransport(c).RoundTrip(r)
+	_, err = newTransport(c).RoundTrip(r) //nolint:bodyclose // There is no answer.
 	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
 	<-closed
 }
