--- a/cmd/main.go
+++ b/cmd/main.go
@@ -36,6 +36,7 @@
 	registerExplain,
 	registerLoad,
 	registerNode,
+	registerSoak,
 	registerStand,
 	registerStatus,
 	registerTimeline,
--- /dev/null
+++ b/io/soak/soak_test.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestSeedStandsForItsSchedule(t *testing.T) {
+	c := qt.New(t)
+	a, b := planOf(7, 6, 20*time.Second), planOf(7, 6, 20*time.Second)
+	c.Assert(a, qt.HasLen, 30)
+	for i := range a {
+		c.Assert(a[i], qt.Equals, b[i])
+		c.Assert(a[i].at >= 0 && a[i].at < 20*time.Second && a[i].target < 6 && a[i].mode > pass && a[i].mode < modes, qt.IsTrue)
+	}
+	c.Check(planOf(8, 6, 20*time.Second)[0] == a[0], qt.IsFalse)
+}
+
+// newEcho returns the address of a server that sends back what it reads.
+func newEcho(c *qt.C) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func TestProxy(t *testing.T) {
+	tests := []struct {
+		name string
+		mode mode
+		// answered tells that bytes come back, and broken that the connection ends.
+		answered, broken bool
+	}{
+		{"pass", pass, true, false},
+		{"slow", slow, true, false},
+		{"silent", silent, false, false},
+		{"one way", oneWay, false, false},
+		{"reset", reset, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			p, err := newProxy(netip.MustParseAddrPort("127.0.0.1:0"), newEcho(c))
+			c.Assert(err, qt.IsNil)
+			defer p.close()
+			conn, err := net.Dial("tcp", p.listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			exchange := func() error {
+				if _, err := conn.Write([]byte("x")); err != nil {
+					return err
+				}
+				c.Assert(conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+				_, err := conn.Read(make([]byte, 1))
+				return err
+			}
+			c.Assert(exchange(), qt.IsNil)
+			p.set(tt.mode)
+			err = exchange()
+			c.Check(err == nil, qt.Equals, tt.answered)
+			if err != nil {
+				timeout, _ := err.(net.Error)
+				c.Check(timeout == nil || !timeout.Timeout(), qt.Equals, tt.broken, qt.Commentf("%v", err))
+			}
+		})
+	}
+}
+
+// Each check is shown to fail on what a broken system would have done.
+func TestReportTellsWhatIsNotKept(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{Seed: 1})
+	for range 10 {
+		s.calls = append(s.calls, call{outcome: "run"}, call{outcome: "run", calm: true})
+	}
+	r := s.report()
+	c.Check(r.Kept(), qt.IsTrue)
+	s.calls = append(s.calls, call{outcome: "unknown", calm: true}, call{outcome: "none", calm: true})
+	r = s.report()
+	c.Check(r.Broken, qt.HasLen, 1)
+	for range 40 {
+		s.calls = append(s.calls, call{outcome: "not-run"})
+	}
+	c.Check(len(s.report().Broken) > 1, qt.IsTrue)
+}
