--- a/cmd/node.go
+++ b/cmd/node.go
@@ -90,7 +90,12 @@
 // newSettingsFile returns the file at path as it is now.
 func newSettingsFile(path string, logger *slog.Logger) *settingsFile {
 	f := &settingsFile{path: path, logger: logger}
-	f.text, _ = os.ReadFile(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		// The next look finds the text as a change.
+		logger.Warn("settings not read", "error", err)
+	}
+	f.text = text
 	return f
 }
 
--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -55,7 +55,7 @@
 		return n.hedge(e.At, e.Random, c, out)
 	}
 	c.surveys++
-	if n.isHopeless(e.At, e.Random, c) {
+	if n.cannotFit(e.At, e.Random, c) {
 		if asked := n.survey(e.At, e.Random, c); len(asked) > 0 && c.surveys < mostSurveys {
 			c.asking = true
 			return append(out, effect.Survey{ID: c.id, Peers: asked})
@@ -98,10 +98,10 @@
 	fitMargin = 1.25
 )
 
-// isHopeless reports whether the guard that is best for c, by what guards have just
+// cannotFit reports whether the guard that is best for c, by what guards have just
 // told, has neither room nor the prospect of it before an answer would be late. Short
 // work is let through, since guards keep room for it that they do not tell of.
-func (n *Entry) isHopeless(now time.Time, random uint64, c *call) bool {
+func (n *Entry) cannotFit(now time.Time, random uint64, c *call) bool {
 	p := n.choose(now, random, c)
 	if p == nil || c.route.Aim == 0 || c.isInner() || n.usual.IsShort(c.class) || now.Sub(p.reported) > seenTime {
 		return false
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -19,7 +19,7 @@
 			total += w
 		}
 		if total == 0 {
-			t.Skip("no weight")
+			weights[0], total = 1, 1
 		}
 		s := share.New(weights, rapid.Uint64().Draw(t, "random"))
 		counts := make([]int, len(weights))
--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -39,7 +39,6 @@
 	mutex  sync.Mutex
 	node   *exec.Cmd
 	backer *exec.Cmd
-	paused bool
 }
 
 // fleetOf is a fleet of real processes, with the proxies before them.
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -137,7 +138,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if t, ok := dst.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -73,8 +74,8 @@
 			err = exchange()
 			c.Check(err == nil, qt.Equals, tt.answered)
 			if err != nil {
-				timeout, _ := err.(net.Error)
-				c.Check(timeout == nil || !timeout.Timeout(), qt.Equals, tt.broken, qt.Commentf("%v", err))
+				var timeout net.Error
+				c.Check(!errors.As(err, &timeout) || !timeout.Timeout(), qt.Equals, tt.broken, qt.Commentf("%v", err))
 			}
 		})
 	}
