--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -107,7 +107,13 @@
 	if err != nil {
 		return Report{}, &StartError{Name: "folder", Cause: err}
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
+	defer func() {
+		if len(s.broken) > 0 {
+			_, _ = fmt.Fprintln(s.options.Out, "the logs of all processes are kept in", folder)
+			return
+		}
+		_ = os.RemoveAll(folder)
+	}()
 	s.fleet, err = start(s.options.Program, folder, s.options.Nodes)
 	if s.fleet != nil {
 		defer s.fleet.stop()
