--- a/io/soak/fleet.go
+++ b/io/soak/fleet.go
@@ -37,8 +37,25 @@
 	settings string
 
 	mutex  sync.Mutex
-	node   *exec.Cmd
-	backer *exec.Cmd
+	node   *process
+	backer *process
+}
+
+// process is a process of the fleet.
+type process struct {
+	*exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+}
+
+// hasEnded reports whether the process has ended.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // fleetOf is a fleet of real processes, with the proxies before them.
@@ -46,7 +63,7 @@
 	program   string
 	folder    string
 	instances []*instance
-	platform  *exec.Cmd
+	platform  *process
 	store     netip.AddrPort
 	before    *proxy
 	client    *http.Client
@@ -82,7 +99,7 @@
 }
 
 // run starts a process of the program, whose output goes to a file of its name.
-func (f *fleetOf) run(name string, args ...string) (*exec.Cmd, error) {
+func (f *fleetOf) run(name string, args ...string) (*process, error) {
 	out, err := os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, &StartError{Name: name, Cause: err}
@@ -93,7 +110,13 @@
 	if err := c.Start(); err != nil {
 		return nil, &StartError{Name: name, Cause: err}
 	}
-	return c, nil
+	p := &process{Cmd: c, ended: make(chan struct{})}
+	go func() {
+		// How a process ends is up to the fault that ends it.
+		_ = c.Wait()
+		close(p.ended)
+	}()
+	return p, nil
 }
 
 // start starts the whole fleet in a folder.
@@ -156,7 +179,7 @@
 func (f *fleetOf) stop() {
 	for _, n := range f.instances {
 		n.mutex.Lock()
-		for _, c := range []*exec.Cmd{n.node, n.backer} {
+		for _, c := range []*process{n.node, n.backer} {
 			end(c)
 		}
 		n.mutex.Unlock()
@@ -167,13 +190,31 @@
 }
 
 // end kills a process and waits for its end.
-func end(c *exec.Cmd) {
-	if c == nil || c.Process == nil {
+func end(p *process) {
+	if p == nil {
 		return
 	}
 	// One that has ended already cannot be killed, which is as good.
-	_ = c.Process.Kill()
-	_ = c.Wait()
+	_ = p.Process.Kill()
+	<-p.ended
+}
+
+// supervise starts the nodes again that have ended without an order, as the platform does.
+func (f *fleetOf) supervise() error {
+	for _, n := range f.instances {
+		if !n.mutex.TryLock() {
+			continue
+		}
+		var err error
+		if n.node.hasEnded() {
+			n.node, err = f.run(n.name, "node", "--settings", n.settings)
+		}
+		n.mutex.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // restart ends the node of an instance by s and starts it again once it has ended.
@@ -182,7 +223,7 @@
 	defer n.mutex.Unlock()
 	_ = n.node.Process.Signal(syscall.SIGCONT)
 	_ = n.node.Process.Signal(s)
-	_ = n.node.Wait()
+	<-n.node.ended
 	var err error
 	n.node, err = f.run(n.name, "node", "--settings", n.settings)
 	return err
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -275,9 +275,13 @@
 	return outcome
 }
 
-// watch reads the revisions of nodes, which never go back within a life.
+// watch starts nodes again that have ended, and reads the revisions of all, which never
+// go back within a life.
 func (s *Soak) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		if err := s.fleet.supervise(); err != nil {
+			s.fail("a node was not started again: %v", err)
+		}
 		for _, n := range s.fleet.instances {
 			status, err := s.fleet.status(n)
 			if err != nil {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -11,8 +11,16 @@
 // with a line on the cause.
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []string{"3"} {
-		out, err := exec.Command(program, "soak", "--seed", seed, "--nodes", "3", "--time", "3s").CombinedOutput()
-		qt.New(t).Check(err, qt.IsNil, qt.Commentf("%s", out))
+	for _, tt := range []struct{ seed, nodes, time string }{
+		{"3", "3", "3s"},
+		// A node got SIGHUP within the first milliseconds of its life and ended, and the
+		// soak did not start it again as the platform does.
+		{"30", "6", "12s"},
+	} {
+		t.Run(tt.seed, func(t *testing.T) {
+			t.Parallel()
+			out, err := exec.Command(program, "soak", "--seed", tt.seed, "--nodes", tt.nodes, "--time", tt.time).CombinedOutput()
+			qt.New(t).Check(err, qt.IsNil, qt.Commentf("%s", out))
+		})
 	}
 }
