refactor(core/share, io/plat): remove what nothing calls

Share.Weights had no caller, and ParseInstances of io/plat none but a test, which now calls fleet.Parse as the node does. Its assertions are the same.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -47,6 +47,3 @@
 	s.credit[best] -= s.total
 	return best
 }
-
-// Weights returns the weights.
-func (s *Share) Weights() []int { return s.weights }
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -20,8 +20,6 @@
 	"net/url"
 	"strconv"
 	"time"
-
-	"bulrushlock/core/fleet"
 )
 
 const (
@@ -122,15 +120,6 @@
 	return h.read(ctx, "/instances", q)
 }
 
-// ParseInstances reads the text of an instance list. It fails with a *fleet.ParseError.
-func ParseInstances(text string) ([]fleet.Instance, error) {
-	instances, err := fleet.Parse(text)
-	if err != nil {
-		return nil, fmt.Errorf("read instance list of the platform: %w", err)
-	}
-	return instances, nil
-}
-
 // read sends one request and reads its answer.
 func (h *HTTP) read(ctx context.Context, path string, q Query) (Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(q.Wait, 0)+grace)
--- a/io/plat/plat_test.go
+++ b/io/plat/plat_test.go
@@ -37,11 +37,11 @@
 	p.List([]fleet.Instance{want})
 	d, err = h.Instances(t.Context(), Query{})
 	c.Assert(err, qt.IsNil)
-	got, err := ParseInstances(d.Text)
+	got, err := fleet.Parse(d.Text)
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.HasLen, 1)
 	c.Assert(got[0], qt.Equals, want)
-	_, err = ParseInstances("x")
+	_, err = fleet.Parse("x")
 	var bad *fleet.ParseError
 	c.Assert(errors.As(err, &bad), qt.IsTrue)
 }
