--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -29,6 +28,7 @@
 	"bulrushlock/core/pick"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/stand"
 	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
@@ -90,44 +90,14 @@
 	return a, string(body), err
 }
 
-// raw is a backend server that answers each request by a function.
-type raw struct {
-	listener net.Listener
-	requests atomic.Int32
-}
-
 // newRaw starts a backend server that calls serve with each request and its connection.
-func newRaw(c *qt.C, serve func(n int, r *http.Request, conn net.Conn)) *raw {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newRaw(c *qt.C, serve func(n int32, r *http.Request, conn net.Conn)) *stand.Raw {
+	s, err := stand.NewRaw(serve)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	s := &raw{listener: l}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.handle(conn, serve)
-		}
-	}()
+	c.Cleanup(func() { _ = s.Close() })
 	return s
 }
 
-// handle serves one connection until it is closed.
-func (s *raw) handle(conn net.Conn, serve func(int, *http.Request, net.Conn)) {
-	defer func() { _ = conn.Close() }()
-	b := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(b)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		serve(int(s.requests.Add(1)), r, conn)
-	}
-}
-
 // answerText returns a whole answer with the given body.
 func answerText(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
@@ -137,14 +107,14 @@
 	for _, body := range []string{"", "claim"} {
 		t.Run("body "+body, func(t *testing.T) {
 			c := qt.New(t)
-			s := newRaw(c, func(n int, _ *http.Request, conn net.Conn) {
+			s := newRaw(c, func(n int32, _ *http.Request, conn net.Conn) {
 				if n == 1 {
 					_, _ = io.WriteString(conn, answerText("ok"))
 					return
 				}
 				_ = conn.Close()
 			})
-			g, _ := newGate(c, s.listener.Addr())
+			g, _ := newGate(c, s.Addr())
 			a, text, err := exchange(c, g, offer(body))
 			c.Assert(err, qt.IsNil)
 			c.Assert(a.Outcome, qt.Equals, effect.Run)
@@ -153,7 +123,7 @@
 			o.Header = http.Header{"Idempotency-Key": {"k"}}
 			a, _, _ = exchange(c, g, o)
 			c.Check(a.Outcome, qt.Equals, effect.Unknown)
-			c.Check(s.requests.Load(), qt.Equals, int32(2))
+			c.Check(s.Requests(), qt.Equals, int32(2))
 		})
 	}
 }
@@ -182,22 +152,22 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
-			g, _ := newGate(c, s.listener.Addr())
+			s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+			g, _ := newGate(c, s.Addr())
 			o := offer("claim")
 			tt.change(&o.Ticket)
 			a, _, _ := exchange(c, g, o)
 			c.Check(a.Outcome, qt.Equals, effect.NotRun)
 			c.Check(a.Reason, qt.Equals, tt.reason)
-			c.Check(s.requests.Load(), qt.Equals, int32(0))
+			c.Check(s.Requests(), qt.Equals, int32(0))
 		})
 	}
 }
 
 func TestAttemptThatArrivesAgainIsAnsweredAgain(t *testing.T) {
 	c := qt.New(t)
-	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
-	g, l := newGate(c, s.listener.Addr())
+	s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+	g, l := newGate(c, s.Addr())
 	o := offer("claim")
 	for range 3 {
 		a, text, err := exchange(c, g, o)
@@ -205,17 +175,17 @@
 		c.Check(a.Outcome, qt.Equals, effect.Run)
 		c.Check(text, qt.Equals, "ok")
 	}
-	c.Check(s.requests.Load(), qt.Equals, int32(1))
+	c.Check(s.Requests(), qt.Equals, int32(1))
 	c.Check(l.Len(), qt.Equals, 0)
 }
 
 func TestAnswerWithoutAnEndIsNotTakenForWhole(t *testing.T) {
 	c := qt.New(t)
-	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) {
+	s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nhalf")
 		_ = conn.Close()
 	})
-	g, _ := newGate(c, s.listener.Addr())
+	g, _ := newGate(c, s.Addr())
 	a, _, _ := exchange(c, g, offer("claim"))
 	c.Check(a.Outcome, qt.Equals, effect.Unknown)
 }
@@ -224,11 +194,11 @@
 	for _, length := range []int{10, keptBody + 10} {
 		t.Run(fmt.Sprint(length), func(t *testing.T) {
 			c := qt.New(t)
-			s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) {
+			s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) {
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nhalf", length)
 				_ = conn.Close()
 			})
-			g, l := newGate(c, s.listener.Addr())
+			g, l := newGate(c, s.Addr())
 			a, _, err := exchange(c, g, offer("claim"))
 			c.Check(a.Outcome == effect.Run && err == nil, qt.IsFalse)
 			c.Check(a.Outcome == effect.Unknown, qt.Equals, length <= keptBody)
@@ -239,10 +209,10 @@
 
 func TestAnswerThatStallsEndsAtTheTimeLimit(t *testing.T) {
 	c := qt.New(t)
-	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) {
+	s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
 	})
-	g, l := newGate(c, s.listener.Addr())
+	g, l := newGate(c, s.Addr())
 	g.options.Finish = 50 * time.Millisecond
 	o := offer("claim")
 	o.Head = 100 * time.Millisecond
@@ -262,8 +232,8 @@
 // A caller whose body breaks off must not make the guard doubt its backend server.
 func TestBrokenRequestBodyDoesNotTurnTheGuardCold(t *testing.T) {
 	c := qt.New(t)
-	s := newRaw(c, func(_ int, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
-	g, l := newGate(c, s.listener.Addr())
+	s := newRaw(c, func(_ int32, _ *http.Request, conn net.Conn) { _, _ = io.WriteString(conn, answerText("ok")) })
+	g, l := newGate(c, s.Addr())
 	_, _, err := exchange(c, g, offer("claim"))
 	c.Assert(err, qt.IsNil)
 	load, _ := l.Load()
@@ -282,10 +252,10 @@
 // taken for the answer to the next request on the connection.
 func TestUnsolicitedAnswerReachesNoCaller(t *testing.T) {
 	c := qt.New(t)
-	s := newRaw(c, func(_ int, r *http.Request, conn net.Conn) {
+	s := newRaw(c, func(_ int32, r *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, answerText(r.Header.Get("Id"))+answerText("of another caller"))
 	})
-	g, _ := newGate(c, s.listener.Addr())
+	g, _ := newGate(c, s.Addr())
 	var callers sync.WaitGroup
 	for i := range 8 {
 		callers.Go(func() {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +25,7 @@
 	"bulrushlock/core/pick"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/stand"
 	"bulrushlock/io/xchg"
 )
 
@@ -66,31 +66,11 @@
 
 // serve starts a guard that calls answer with each request and its connection,
 // and returns its address and the number of requests that it has read.
-func serve(c *qt.C, answer func(n int32, r *http.Request, conn net.Conn)) (net.Addr, *atomic.Int32) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func serve(c *qt.C, answer func(n int32, r *http.Request, conn net.Conn)) (address net.Addr, requests func() int32) {
+	s, err := stand.NewRaw(answer)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	var requests atomic.Int32
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				b := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					answer(requests.Add(1), r, conn)
-				}
-			}()
-		}
-	}()
-	return l.Addr(), &requests
+	c.Cleanup(func() { _ = s.Close() })
+	return s.Addr(), s.Requests
 }
 
 // ran writes the answer of a guard whose backend server ran the attempt t.
@@ -121,7 +101,7 @@
 			var broken *xchg.BrokenError
 			c.Assert(errors.As(err, &broken), qt.IsTrue)
 			c.Check(broken.Expired, qt.IsFalse)
-			c.Check(requests.Load(), qt.Equals, int32(2))
+			c.Check(requests(), qt.Equals, int32(2))
 		})
 	}
 }
--- a/io/turns/turns_test.go
+++ b/io/turns/turns_test.go
@@ -9,40 +9,21 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/io/stand"
 )
 
 // serve starts a server that calls answer with each request and its connection,
 // and returns its URL and the number of requests that it has read.
-func serve(c *qt.C, answer func(n int32, conn net.Conn)) (string, *atomic.Int32) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func serve(c *qt.C, answer func(n int32, r *http.Request, conn net.Conn)) (url string, requests func() int32) {
+	s, err := stand.NewRaw(answer)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	var requests atomic.Int32
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				b := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					answer(requests.Add(1), conn)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String(), &requests
+	c.Cleanup(func() { _ = s.Close() })
+	return "http://" + s.Addr().String(), s.Requests
 }
 
 // send sends one request with a body and returns the body of its answer.
@@ -73,7 +54,7 @@
 func TestConnectionIsUsedAgain(t *testing.T) {
 	c := qt.New(t)
 	first := make(chan net.Conn, 1)
-	url, requests := serve(c, func(n int32, conn net.Conn) {
+	url, requests := serve(c, func(n int32, _ *http.Request, conn net.Conn) {
 		if n == 1 {
 			first <- conn
 		}
@@ -86,7 +67,7 @@
 		c.Assert(body, qt.Equals, "ok")
 	}
 	c.Assert((<-first).Close(), qt.IsNil)
-	c.Check(requests.Load(), qt.Equals, int32(20))
+	c.Check(requests(), qt.Equals, int32(20))
 }
 
 func TestRefusedConnectionIsUnsent(t *testing.T) {
@@ -101,7 +82,7 @@
 
 func TestRequestThatWasReadIsNeverUnsent(t *testing.T) {
 	c := qt.New(t)
-	url, requests := serve(c, func(n int32, conn net.Conn) {
+	url, requests := serve(c, func(n int32, _ *http.Request, conn net.Conn) {
 		if n == 1 {
 			_, _ = io.WriteString(conn, text("ok"))
 			return
@@ -115,7 +96,7 @@
 	var unsent *UnsentError
 	c.Check(err, qt.IsNotNil)
 	c.Check(errors.As(err, &unsent), qt.IsFalse)
-	c.Check(requests.Load(), qt.Equals, int32(2))
+	c.Check(requests(), qt.Equals, int32(2))
 }
 
 // newPair returns a connection of a transport and its other end.
@@ -229,7 +210,7 @@
 	for _, reset := range []bool{false, true} {
 		t.Run(fmt.Sprintf("reset %v", reset), func(t *testing.T) {
 			c := qt.New(t)
-			url, _ := serve(c, func(_ int32, conn net.Conn) {
+			url, _ := serve(c, func(_ int32, _ *http.Request, conn net.Conn) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
 				if reset {
 					_ = conn.(*net.TCPConn).SetLinger(0)
@@ -291,7 +272,7 @@
 func TestGivenUpRequestClosesItsConnection(t *testing.T) {
 	c := qt.New(t)
 	closed := make(chan struct{})
-	url, _ := serve(c, func(_ int32, conn net.Conn) {
+	url, _ := serve(c, func(_ int32, _ *http.Request, conn net.Conn) {
 		_, _ = conn.Read(make([]byte, 1))
 		close(closed)
 	})
@@ -307,7 +288,7 @@
 // A connection that its server closes while it is not used costs no request.
 func TestRequestGoesOnAnotherConnectionWhileNothingIsSent(t *testing.T) {
 	c := qt.New(t)
-	url, requests := serve(c, func(n int32, conn net.Conn) {
+	url, requests := serve(c, func(n int32, _ *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, text("ok")+text("stray"))
 	})
 	tr := newTransport(c)
@@ -316,5 +297,5 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.Equals, "ok")
 	}
-	c.Check(requests.Load(), qt.Equals, int32(200))
+	c.Check(requests(), qt.Equals, int32(200))
 }
