--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -12,6 +12,8 @@
 //	p := stand.NewPlatform()
 //	h := httptest.NewServer(p)
 //	revision := p.Publish(text)
+//
+//	s, err := stand.NewRaw(func(_ int32, _ *http.Request, c net.Conn) { _ = c.Close() })
 package stand
 
 import (
