fix(io/client): keep the ticket of an outcome whose body was cut

Cause: the ticket of an unknown outcome was read from the body that explains it, and the end of the caller's context may cut that body when both come at the same deadline; the caller then had an error without the ticket it needs to ask again. The ticket is now read from the header. TestOutcomeWhoseBodyIsCutKeepsItsTicket failed before.

--- a/io/client/do.go
+++ b/io/client/do.go
@@ -20,7 +20,6 @@
 type problem struct {
 	Reason effect.Reason `json:"reason"`
 	Detail string        `json:"detail"`
-	Ticket string        `json:"ticket"`
 }
 
 // Do sends r, of whose URL only the path and the query count, and returns the
@@ -124,13 +123,18 @@
 	if err == nil {
 		err = json.Unmarshal(text, &p)
 	}
+	if err != nil {
+		// The end of ctx cuts the body, and often comes with the answer.
+		p = problem{Reason: effect.ReasonGone, Detail: err.Error()}
+	}
+	t := Ticket(w.answer)
 	switch outcome {
 	case effect.NotRun.String():
 		return nil, &NotRunError{Reason: p.Reason, Detail: p.Detail}
 	case effect.Unknown.String():
-		return nil, &UnknownError{Reason: p.Reason, Ticket: ticketOf(p.Ticket), Cause: ctx.Err()}
+		return nil, &UnknownError{Reason: p.Reason, Ticket: t, Cause: ctx.Err()}
 	case effect.Running.String():
-		return nil, &RunningError{Ticket: ticketOf(p.Ticket)}
+		return nil, &RunningError{Ticket: t}
 	}
 	return nil, &AnswerError{Outcome: outcome, Cause: err}
 }
