feat(core/spell, core/guard, core/pace): wait for the end of slow spells, start cold by the operators' bound

After the final power loss all machines were held to 11 starts a second, where the operators allow 21 in any second.

Change: a guard holds work while its machine is in a slow spell, if the work is expected to end sooner after it, and gives late work a slot within a spell only up to two fifths of its bound. The rule 'budget' has 'over' and 'slack', filled in from the settings, of which a guard uses 60 %.

--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -120,7 +120,7 @@
 	if e.Left <= 0 {
 		return g.refuse(e, effect.ReasonDeadline, out)
 	}
-	if g.line.Len() == 0 && g.hasRoom(e) && g.mayStart(e.At, g.isLate(e.At, e)) {
+	if g.line.Len() == 0 && g.hasRoom(e) && !g.isHeld(e.At, e) && g.mayStart(e.At, g.isLate(e.At, e)) {
 		return g.run(e, g.noteAdmitted(e, 0, out))
 	}
 	if e.Aim > 0 {
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -23,6 +23,7 @@
 	"bulrushlock/core/ramp"
 	"bulrushlock/core/report"
 	"bulrushlock/core/rules"
+	"bulrushlock/core/spell"
 	"bulrushlock/core/ticket"
 	"bulrushlock/core/usual"
 )
@@ -77,6 +78,8 @@
 	waiters  map[uint64]event.Attempt
 	// line holds the waiting attempts whose answers are due at a time.
 	line *line.Line[uint64]
+	// spell tells whether work should wait for its machine to turn fast again.
+	spell *spell.Spell
 	// usual is the time that work takes.
 	usual *usual.Usual
 	// short is the number of running attempts whose work is short, and shorts its
@@ -140,6 +143,7 @@
 		cold:     true,
 		pace:     pace.New(),
 		line:     line.New[uint64](0),
+		spell:    spell.New(),
 		usual:    usual.New(),
 	}
 }
@@ -151,7 +155,7 @@
 		return out
 	}
 	g.limits = limits
-	g.pace.SetRate(float64(limits.Rate))
+	g.pace.SetBound(float64(limits.Rate), s.Budget.Over, s.Budget.Slack)
 	g.resize()
 	return g.grant(at, out)
 }
@@ -305,7 +309,7 @@
 		out = g.refuse(g.waiters[arrival], r, out)
 	}
 	for {
-		arrival, ok := g.line.Next(time.Time{}, 1)
+		arrival, ok := g.line.Next(time.Time{}, 1, func(uint64) bool { return true })
 		if !ok {
 			break
 		}
--- a/core/guard/look.go
+++ b/core/guard/look.go
@@ -83,6 +83,7 @@
 	}
 	resized := s.Slots != g.sight.Slots
 	g.sight, g.sighted = *s, at
+	g.spell.Observe(at, s.Slow)
 	g.foreign = max(0, s.Busy+s.Queued-len(g.busy))
 	if resized {
 		g.resize()
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -16,6 +16,9 @@
 	// lateShare is the share of its aim for which an attempt may wait that can no
 	// longer be in time: it gets room that nobody else can use.
 	lateShare = 0.125
+	// spareShare is the share of its bound up to which a guard starts work in a slow
+	// spell that is late in any case. Such work keeps its slot far beyond the spell.
+	spareShare = 0.4
 	// waitMargin is the factor on the expected time of work by which it has to fit
 	// into the time that is left, as half of all work takes longer than expected.
 	waitMargin = 1.25
@@ -60,7 +63,7 @@
 // others ahead of it while all of the bound run.
 func (g *Guard) waitBehind(now time.Time, ahead, bound int) time.Duration {
 	wait := g.usual.Mean(g.slowness(now)) * time.Duration(ahead+1) / time.Duration(bound)
-	if len(g.busy)+g.foreign < bound {
+	if len(g.busy)+g.foreign+ahead < bound {
 		wait = 0
 	}
 	if !g.isPaced() {
@@ -78,6 +81,9 @@
 	}
 	takes := g.takes(e)
 	usually := time.Duration(float64(takes) / g.stretch(e.At, g.slowness(e.At)))
+	if g.isHeld(e.At, e) {
+		takes = g.outside(usually)
+	}
 	due := e.At.Add(e.Aim)
 	fits := time.Duration(waitMargin * float64(takes))
 	i := line.Item[uint64]{Value: e.Arrival, Rank: e.Rank, Due: due, Takes: usually, End: due.Add(-fits)}
@@ -104,12 +110,15 @@
 		out = g.refuse(g.waiters[arrival], effect.ReasonBusy, out)
 	}
 	for {
-		arrival, ok := g.line.Next(at, g.stretch(at, g.slowness(at)))
+		arrival, ok := g.line.Next(at, g.stretch(at, g.slowness(at)), func(arrival uint64) bool {
+			e := g.waiters[arrival]
+			return g.hasRoom(e) && !g.isHeld(at, e)
+		})
 		if !ok {
 			return out
 		}
 		e := g.waiters[arrival]
-		if !g.hasRoom(e) || !g.mayStart(at, g.isLate(at, e)) {
+		if !g.mayStart(at, g.isLate(at, e)) {
 			return out
 		}
 		g.line.Remove(arrival)
@@ -117,6 +126,32 @@
 	}
 }
 
+// isHeld reports whether e is to wait for the end of a slow spell although there is
+// room. What is late in any case begins within the spell where nobody else is likely
+// to want its slot.
+func (g *Guard) isHeld(now time.Time, e event.Attempt) bool {
+	if e.Aim == 0 || e.Inner {
+		return false
+	}
+	usually, ok := g.usual.Takes(e.Class, 0)
+	if !ok {
+		return false
+	}
+	takes := g.outside(usually)
+	if !g.spell.IsWorthWaiting(now, takes) {
+		return false
+	}
+	left := e.Aim - now.Sub(e.At)
+	canBeInTime := time.Duration(waitMargin*float64(takes)) < left
+	return canBeInTime || float64(len(g.busy)+g.foreign) >= spareShare*float64(g.bound())
+}
+
+// outside returns the time that work takes outside of slow spells which usually takes
+// the time given.
+func (g *Guard) outside(usually time.Duration) time.Duration {
+	return time.Duration(float64(usually) * float64(max(g.spell.Base(), usualSlow)) / usualSlow)
+}
+
 // isLate reports whether e is late however fast the work goes.
 func (g *Guard) isLate(now time.Time, e event.Attempt) bool {
 	takes, ok := g.usual.Takes(e.Class, 0)
--- a/core/line/line.go
+++ b/core/line/line.go
@@ -11,7 +11,7 @@
 //
 //	l := line.New[uint64](16)
 //	ok := l.Push(line.Item[uint64]{Value: arrival, Rank: 1, Due: due, End: end, Takes: usual})
-//	arrival, ok := l.Next(now, 1)
+//	arrival, ok := l.Next(now, 1, hasRoom)
 //	late := l.Late(now)
 package line
 
@@ -90,13 +90,16 @@
 	return true
 }
 
-// Next returns the item that goes first and leaves it in, while work takes stretch
-// times as long as usual. Items that can be in time go by rank and then by the
+// Next returns the item that goes first of those that may begin, and leaves it in,
+// while work takes stretch times as long as usual. Items that can be in time go by rank and then by the
 // earliest due time; those that can only be if the work gets faster by rank and then
 // by the latest; and those that are late in any case by the shortest wait that is left.
-func (l *Line[T]) Next(now time.Time, stretch float64) (value T, ok bool) {
+func (l *Line[T]) Next(now time.Time, stretch float64, may func(T) bool) (value T, ok bool) {
 	best := -1
 	for i := range l.items {
+		if !may(l.items[i].Value) {
+			continue
+		}
 		if best < 0 || before(now, stretch, &l.items[i], &l.items[best]) {
 			best = i
 		}
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := pace.New()
-//	p.SetRate(11)
+//	p.SetBound(11, 1.5, 5)
 //	p.Cold(now.Add(left))
 //	if p.Take(now) {
 //		send()
@@ -20,24 +20,35 @@
 	"bulrushlock/core/bucket"
 )
 
-// burst is the number of requests that may start at the same moment. It stays
-// well below the overage that a cold backend server bears.
-const burst = 2
+// margin is the share of what a second may have beyond the rate that is made use of.
+// The rest covers what starts before a cold start is noticed, and starts that arrive
+// closer together than they were sent.
+const margin = 0.6
+
+// leastBurst is the number of requests that may start at the same moment at least, so
+// that a cold backend server is not idle between two of them.
+const leastBurst = 2
 
 // Pace bounds the starts of requests. It is not safe for use by several
 // goroutines at once.
 type Pace struct {
 	bucket *bucket.Bucket
+	// burst is the number of requests that may start at the same moment.
+	burst float64
 	// until is the end of the cold start; unknown tells that it is not known.
 	until   time.Time
 	unknown bool
 }
 
 // New returns the pace of a backend server that is taken for cold.
-func New() *Pace { return &Pace{bucket: bucket.New(0, burst), unknown: true} }
+func New() *Pace { return &Pace{bucket: bucket.New(0, leastBurst), unknown: true} }
 
-// SetRate sets the number of requests a second that a cold backend server bears.
-func (p *Pace) SetRate(rate float64) { p.bucket.SetRate(rate, burst) }
+// SetBound sets the number of requests a second that a cold backend server bears, and
+// the factor on it and the number of requests beyond that which no second may pass.
+func (p *Pace) SetBound(rate, over, slack float64) {
+	p.burst = max(leastBurst, margin*slack)
+	p.bucket.SetRate(rate*(1+margin*(over-1)), p.burst)
+}
 
 // Doubt takes the backend server for cold until Cold or Warm is called.
 func (p *Pace) Doubt() { p.unknown = true }
@@ -63,7 +74,7 @@
 // IsSpare reports whether a request may start now without taking the turn of one that
 // comes soon: the backend server is warm, or no other request has started for a while.
 func (p *Pace) IsSpare(now time.Time) bool {
-	return !p.IsCold(now) || p.bucket.Wait(now, burst) == 0
+	return !p.IsCold(now) || p.bucket.Wait(now, p.burst) == 0
 }
 
 // Wait returns the time after which one more request may start that has others ahead of it.
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -15,6 +15,8 @@
 	maxConnections = 1_048_576
 	maxWarm        = 1_000_000
 	maxRate        = 10_000 // a second
+	maxOver        = 10
+	maxSlack       = 1_000 // requests
 	maxRank        = 9
 	maxTries       = 100
 	maxHostBytes   = 253
@@ -71,6 +73,8 @@
 	intKey("look", 1, maxRate, "2", func(b *Budget) *int { return &b.Look }),
 	shareKey("retry", "10%", func(b *Budget) *float64 { return &b.Retry }),
 	shareKey("hedge", "2%", func(b *Budget) *float64 { return &b.Hedge }),
+	optional(decimalKey("over", 1, maxOver, "1.5", func(b *Budget) *float64 { return &b.Over }), "1"),
+	optional(decimalKey("slack", 0, maxSlack, "5", func(b *Budget) *float64 { return &b.Slack }), "2"),
 }
 
 // outNames holds the names that an out rule may give; one of them is set.
@@ -164,6 +168,21 @@
 	}
 }
 
+// decimalKey returns a key whose value is a number from low to high with at most two decimals.
+func decimalKey[T any](name string, low, high float64, example string, at func(*T) *float64) key[T] {
+	return key[T]{
+		name:    name,
+		want:    fmt.Sprintf("a number from %v to %v with at most two decimals", low, high),
+		example: example,
+		read: func(record *T, text string) bool {
+			n, ok := parseHundredths(text)
+			*at(record) = float64(n) / 100
+			return ok && *at(record) >= low && *at(record) <= high
+		},
+		show: func(record *T) string { return strconv.FormatFloat(*at(record), 'f', -1, 64) },
+	}
+}
+
 // sizeKey returns a key whose value is a number of bytes with its unit.
 func sizeKey[T any](name, example string, at func(*T) *int64) key[T] {
 	return key[T]{
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -67,6 +67,8 @@
 			Look:  defaultLook,
 			Retry: defaultRetry,
 			Hedge: defaultHedge,
+			Over:  defaultOver,
+			Slack: defaultSlack,
 		}},
 		first: make(map[string]int),
 	}
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -18,6 +18,8 @@
 	defaultLook  = 2    // a second
 	defaultRetry = 0.1  // of the requests
 	defaultHedge = 0.02 // of the requests
+	defaultOver  = 1    // times the rate of a cold backend server
+	defaultSlack = 2    // requests
 )
 
 // Limits of a service that follow from its slots where its rule does not give them.
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -100,7 +100,12 @@
 	// Retry is the largest share of requests that are retried, from 0 to 1.
 	Retry float64
 	// Hedge is the largest share of requests that are hedged, from 0 to 1.
-	Hedge  float64
+	Hedge float64
+	// Over is the factor on the rate of a cold backend server, and Slack the number of
+	// requests beyond that, which no second may pass.
+	Over  float64
+	Slack float64
+	// Origin tells who asked for the budget, and why.
 	Origin Origin
 }
 
--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -52,12 +52,18 @@
 	if !found {
 		return 0, false
 	}
-	whole, decimals, point := strings.Cut(number, ".")
+	n, ok := parseHundredths(number)
+	return n, ok && n <= hundredths
+}
+
+// parseHundredths reads a number with at most two decimals and returns it in hundredths.
+func parseHundredths(text string) (int64, bool) {
+	whole, decimals, point := strings.Cut(text, ".")
 	if len(decimals) > 2 || point && decimals == "" {
 		return 0, false
 	}
 	n, ok := parseDigits(whole + decimals + "00"[len(decimals):])
-	return n, ok && whole != "" && n <= hundredths
+	return n, ok && whole != ""
 }
 
 // formatPercent returns a share from 0 to 1 as a percentage.
