fix(core/span): take only callers for returned ones that lack as much as they were told to wait

Found by 'waited_us' in the lines 'done'.

Change: a caller has come back where it lacks at least the share of its time that a refused one is told to wait at least; short work is not judged by its time at all.

--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -124,14 +124,15 @@
 }
 
 // waitedOf returns the time that the caller of c has waited already, which is known
-// where its rule names an aim and the caller tells the time that it still waits.
+// where its rule names an aim and the caller tells the time that it still waits. Calls
+// of running requests have what is left of those, and calls are short.
 func (n *Entry) waitedOf(c *call, e event.Request) time.Duration {
-	if c.route.Aim == 0 || e.Call.Left == 0 {
+	if c.route.Aim == 0 || e.Call.Left == 0 || n.usual.IsShort(c.class) {
 		return 0
 	}
 	s, ok := n.spans[c.class]
 	if !ok {
-		s = span.New()
+		s = span.New(retryShare * (1 - retrySpread))
 		n.spans[c.class] = s
 	}
 	return s.Waited(e.At, e.Call.Left)
