feat(core/spell): take a machine for usual until it was seen for a while

Change: the slowness outside of spells is 100 % for the first period, and a class that is not known yet is expected to take a third of its aim, as in the line.

The case 'slow from the start' of TestIsWorthWaiting failed before.

--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -30,15 +30,21 @@
 	shortWeight = 0.05
 )
 
-// takes returns the time that e is expected to take if it begins now. Where nothing
-// is known of its class that is a share of its aim.
+// takes returns the time that e is expected to take if it begins now.
 func (g *Guard) takes(e event.Attempt) time.Duration {
-	slow := g.slowness(e.At)
-	usually, ok := g.usual.Takes(e.Class, 0)
-	if !ok {
-		usually = e.Aim / 3
+	return time.Duration(float64(g.usually(e)) * g.stretch(e.At, g.slowness(e.At)))
+}
+
+// unknownShare is the share of its aim that work is expected to take of whose class
+// nothing is known.
+const unknownShare = 1.0 / 3
+
+// usually returns the time that e takes on a backend server that works as usual.
+func (g *Guard) usually(e event.Attempt) time.Duration {
+	if d, ok := g.usual.Takes(e.Class, 0); ok {
+		return d
 	}
-	return time.Duration(float64(usually) * g.stretch(e.At, slow))
+	return time.Duration(unknownShare * float64(e.Aim))
 }
 
 // stretch returns the factor on the time of work that begins now. A cold start lasts
@@ -133,11 +139,7 @@
 	if e.Aim == 0 || e.Inner {
 		return false
 	}
-	usually, ok := g.usual.Takes(e.Class, 0)
-	if !ok {
-		return false
-	}
-	takes := g.outside(usually)
+	takes := g.outside(g.usually(e))
 	if !g.spell.IsWorthWaiting(now, takes) {
 		return false
 	}
--- a/core/spell/spell.go
+++ b/core/spell/spell.go
@@ -19,6 +19,9 @@
 import "time"
 
 const (
+	// usual is the slowness that is taken for that outside of spells before a period of
+	// observations is over: 100 % stands for the usual time of work.
+	usual = 100
 	// slowest is the share of its usual speed below which a machine is in a slow spell,
 	// as a factor on the time of work: smaller changes are not worth a wait.
 	slowest = 1.5
@@ -47,7 +50,7 @@
 }
 
 // New returns a Spell that has observed nothing.
-func New() *Spell { return &Spell{length: firstLength} }
+func New() *Spell { return &Spell{length: firstLength, lowest: usual, lowestBefore: usual} }
 
 // Observe takes in the slowness of the machine at a time, in percent of its usual time
 // of work. A slowness of 0 stands for one that was not told.
@@ -55,6 +58,9 @@
 	if slow <= 0 {
 		return
 	}
+	if s.periodBegan.IsZero() {
+		s.periodBegan = now
+	}
 	if now.Sub(s.periodBegan) > period {
 		s.lowestBefore, s.lowest, s.periodBegan = s.lowest, slow, now
 	}
@@ -70,25 +76,11 @@
 	}
 }
 
-// base returns the slowness outside of spells.
-func (s *Spell) base() int {
-	if s.lowestBefore == 0 {
-		return s.lowest
-	}
-	return min(s.lowest, s.lowestBefore)
-}
+// Base returns the slowness outside of spells in percent.
+func (s *Spell) Base() int { return min(s.lowest, s.lowestBefore) }
 
 // factor returns how many times as long work takes now as outside of spells.
-func (s *Spell) factor() float64 {
-	base := s.base()
-	if base <= 0 {
-		return 1
-	}
-	return float64(s.slow) / float64(base)
-}
-
-// Base returns the slowness outside of spells in percent, or 0 where nothing is known.
-func (s *Spell) Base() int { return s.base() }
+func (s *Spell) factor() float64 { return float64(s.slow) / float64(s.Base()) }
 
 // Left returns the time for which the present spell is expected to last, or 0 outside
 // of spells.
--- a/core/spell/spell_test.go
+++ b/core/spell/spell_test.go
@@ -47,7 +47,8 @@
 		{"short work in a slow spell", 100, []told{{0, 100}, {50, 400}}, 40 * time.Millisecond, false},
 		{"after the spell", 200, []told{{0, 100}, {50, 400}, {150, 100}}, 160 * time.Millisecond, false},
 		{"a spell that has lasted long", 1300, []told{{0, 100}, {50, 400}}, 160 * time.Millisecond, false},
-		{"slow from the start", 100, []told{{0, 400}}, 160 * time.Millisecond, false},
+		{"slow from the start", 100, []told{{0, 400}}, 160 * time.Millisecond, true},
+		{"cold from the start", 100, []told{{0, 200}}, 160 * time.Millisecond, false},
 		{"slow for good", 9000, []told{{0, 100}, {50, 400}}, 10 * time.Second, false},
 		{"a spell in a cold start", 100, []told{{0, 200}, {50, 800}}, 320 * time.Millisecond, true},
 	}
