fix(core/spell): take no cold start for a slow spell

Cause: in a cold start a backend server works half as fast for seconds. That began a spell, in which the neighbours' spells were lost: its age made each of them look lasting, and work began at eight times its usual time.

Change: a spell begins at 2.5 times the usual time.

The case 'a spell late in a cold start' of TestIsWorthWaiting failed before.

--- a/core/spell/spell.go
+++ b/core/spell/spell.go
@@ -22,9 +22,10 @@
 	// usual is the slowness that is taken for that outside of spells before a period of
 	// observations is over: 100 % stands for the usual time of work.
 	usual = 100
-	// slowest is the share of its usual speed below which a machine is in a slow spell,
-	// as a factor on the time of work: smaller changes are not worth a wait.
-	slowest = 1.5
+	// slowest is the factor on the time of work from which a machine is in a slow spell.
+	// Below it a wait gains little, and a cold start, which lasts longer than spells, is
+	// not taken for one.
+	slowest = 2.5
 	// firstLength is the length of a spell that is expected before one was seen: the
 	// platform says that speeds change several times a second.
 	firstLength = 250 * time.Millisecond
