--- a/core/guard/look.go
+++ b/core/guard/look.go
@@ -71,6 +71,7 @@
 	g.pace.Warm()
 	if g.cold {
 		g.cold = false
+		g.spell.Reset(e.At)
 		out = append(out, effect.Note{Kind: effect.KindWarm})
 	}
 	return out
--- a/core/spell/spell.go
+++ b/core/spell/spell.go
@@ -51,7 +51,17 @@
 }
 
 // New returns a Spell that has observed nothing.
-func New() *Spell { return &Spell{length: firstLength, lowest: usual, lowestBefore: usual} }
+func New() *Spell {
+	s := &Spell{length: firstLength}
+	s.Reset(time.Time{})
+	return s
+}
+
+// Reset forgets the slowness outside of spells, as after a cold start, which is slow
+// throughout.
+func (s *Spell) Reset(now time.Time) {
+	s.lowest, s.lowestBefore, s.periodBegan = usual, usual, now
+}
 
 // Observe takes in the slowness of the machine at a time, in percent of its usual time
 // of work. A slowness of 0 stands for one that was not told.
--- a/core/spell/spell_test.go
+++ b/core/spell/spell_test.go
@@ -77,3 +77,14 @@
 	c.Check(left > 90*time.Millisecond && left < 110*time.Millisecond, qt.IsTrue, qt.Commentf("%v", left))
 	c.Check(s.Base(), qt.Equals, 100)
 }
+
+// A cold start is slow throughout, so that its end makes slow what was not before.
+func TestResetAfterAColdStart(t *testing.T) {
+	c := qt.New(t)
+	s := observed(9000, told{0, 200})
+	s.Observe(at(9010), 400)
+	c.Check(s.IsWorthWaiting(at(9020), 160*time.Millisecond), qt.IsFalse)
+	s.Reset(at(9020))
+	s.Observe(at(9030), 400)
+	c.Check(s.IsWorthWaiting(at(9040), 160*time.Millisecond), qt.IsTrue)
+}
