feat(core/pace): count the starts of a warm backend server, use three quarters of the cold bound

Change: starts of a warm backend server drain the bucket too, so that one that turns cold under load has no burst left when that is noticed. That bears three quarters of the bound.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -23,7 +23,7 @@
 // margin is the share of what a second may have beyond the rate that is made use of.
 // The rest covers what starts before a cold start is noticed, and starts that arrive
 // closer together than they were sent.
-const margin = 0.6
+const margin = 0.75
 
 // leastBurst is the number of requests that may start at the same moment at least, so
 // that a cold backend server is not idle between two of them.
@@ -68,8 +68,12 @@
 // IsCold reports whether the backend server has to be taken for cold.
 func (p *Pace) IsCold(now time.Time) bool { return p.unknown || now.Before(p.until) }
 
-// Take reports whether a request may start now, and counts it where it may.
-func (p *Pace) Take(now time.Time) bool { return !p.IsCold(now) || p.bucket.Take(now, 1) }
+// Take reports whether a request may start now, and counts it where it may. What starts
+// while the backend server is warm counts as well: it may have turned cold already.
+func (p *Pace) Take(now time.Time) bool {
+	counted := p.bucket.Take(now, 1)
+	return counted || !p.IsCold(now)
+}
 
 // IsSpare reports whether a request may start now without taking the turn of one that
 // comes soon: the backend server is warm, or no other request has started for a while.
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -80,3 +80,31 @@
 	p.Warm()
 	c.Check(p.Wait(now, 5), qt.Equals, time.Duration(0))
 }
+
+// A backend server that works at full load turns cold, which is noticed after a while:
+// the second in which it did still stays within the bound.
+func TestColdStartThatIsNoticedLate(t *testing.T) {
+	const rate, over, slack = 11, 1.5, 5
+	const noticed = 100 * time.Millisecond
+	for _, load := range []time.Duration{20 * time.Millisecond, 40 * time.Millisecond} {
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		p := pace.New()
+		p.SetBound(rate, over, slack)
+		p.Warm()
+		for range 100 {
+			c.Assert(p.Take(now), qt.IsTrue)
+			now = now.Add(load)
+		}
+		starts := 0
+		for cold := time.Duration(0); cold < time.Second; cold += load {
+			if cold >= noticed {
+				p.Cold(now.Add(time.Second))
+			}
+			if p.Take(now.Add(cold)) {
+				starts++
+			}
+		}
+		c.Check(float64(starts) <= rate*over+slack, qt.IsTrue, qt.Commentf("%d starts", starts))
+	}
+}
