--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -91,7 +91,9 @@
 		now := time.Unix(1000, 0)
 		p := pace.New()
 		p.SetBound(rate, over, slack)
+		p.Take(now)
 		p.Warm()
+		now = now.Add(time.Second)
 		for range 100 {
 			c.Assert(p.Take(now), qt.IsTrue)
 			now = now.Add(load)
