feat(core/shape, io/spout): long answers leave room on slow links for short ones

Ruled out: load of the service (3 of 9 slots in use), processor time (0.02 cores), cold starts.

Change: parts of long answers of a process are spaced out to 85 % of its link, which the setting 'link' tells. Short answers, questions and requests pass between them.

--- /dev/null
+++ b/core/shape/shape_test.go
@@ -0,0 +1,62 @@
+package shape_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bulrushlock/core/shape"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestPart(t *testing.T) {
+	tests := []struct {
+		name string
+		bits float64
+		want int
+	}{
+		{"a link that is not known", 0, 32 << 10},
+		{"a very slow link", 1e6, 4 << 10},
+		{"a slow link", 10e6, 6375},
+		{"a fast link", 1e9, 32 << 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { qt.Check(t, shape.New(tt.bits).Part(), qt.Equals, tt.want) })
+	}
+}
+
+func TestUnknownLinkHasNoWaits(t *testing.T) {
+	s := shape.New(0)
+	for range 100 {
+		qt.Assert(t, s.Take(now, 1<<20), qt.Equals, time.Duration(0))
+	}
+}
+
+// Exports that come at any times never fill more of the link than their share, and
+// make use of all of it while they wait.
+func TestExportsLeaveRoomOnTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const bits = 10e6
+		s := shape.New(bits)
+		at, sent, end := now, 0, now
+		for range 200 {
+			at = at.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "gap")) * time.Millisecond)
+			n := rapid.IntRange(1, s.Part()).Draw(t, "bytes")
+			begins := at.Add(s.Take(at, n))
+			if begins.Before(end) {
+				t.Fatalf("a part begins %v before the one ahead of it is sent", end.Sub(begins))
+			}
+			if begins.After(at) && begins.Sub(end) > time.Microsecond {
+				t.Fatalf("the link is idle for %v while a part waits", begins.Sub(end))
+			}
+			sent += n
+			end = begins.Add(time.Duration(float64(n) * 8 / (0.85 * bits) * float64(time.Second)))
+		}
+		if most := 0.85*bits/8*end.Sub(now).Seconds() + 1; float64(sent) > most {
+			t.Fatalf("%d bytes sent, where %v fit", sent, most)
+		}
+	})
+}
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -36,6 +36,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/node"
 	"bulrushlock/core/pick"
+	"bulrushlock/core/shape"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/carry"
 	"bulrushlock/io/front"
@@ -44,6 +45,7 @@
 	"bulrushlock/io/oper"
 	"bulrushlock/io/plat"
 	"bulrushlock/io/serve"
+	"bulrushlock/io/spout"
 	"bulrushlock/io/wire"
 )
 
@@ -120,7 +122,7 @@
 	})
 	w := wire.New(c.loop, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
 	c.link = link.New(c.loop, &net.Dialer{Timeout: dialTime})
-	c.front = front.New(c.loop, front.Options{Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope})
+	c.front = front.New(c.loop, front.Options{Local: c.link, Remote: c.link, Asker: w, Scope: o.Scope, Spout: spout.New(shape.New(0))})
 	c.carrier.Start(c.loop, w)
 	return c
 }
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -45,6 +45,9 @@
 	mostLines    = 100_000
 )
 
+// mostLink is the largest value of the key "link", in megabits a second.
+const mostLink = 1_000_000
+
 // Bounds and defaults of the keys "drain" and "lag".
 const (
 	defaultDrain = 3 * time.Second
@@ -93,6 +96,9 @@
 	Dialect string
 	// Ask is the number of guards that are asked for their load before a request is sent.
 	Ask int
+	// Link is what the network link of the instance carries, in megabits a second; 0
+	// where that is not known.
+	Link float64
 	// Lines is the number of log lines a second from which lines of requests that went
 	// well are left out.
 	Lines int
@@ -192,6 +198,7 @@
 		{"platform", s.Platform == o.Platform},
 		{"peers", slices.Equal(s.Peers, o.Peers)},
 		{"lag", s.Lag == o.Lag},
+		{"link", s.Link == o.Link},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -123,7 +123,7 @@
 
 func TestParsePlatform(t *testing.T) {
 	c := qt.New(t)
-	text := replace("instance", "") + "ready: 127.0.0.1:8004\ndialect: platform\nask: 3\nlines: 50\n" +
+	text := replace("instance", "") + "ready: 127.0.0.1:8004\ndialect: platform\nask: 3\nlines: 50\nlink: 12.5\n" +
 		"rules:\n  - \"budget look=20   # team: speed\"\n"
 	s, err := Parse("n", []byte(text))
 	c.Assert(err, qt.IsNil)
@@ -132,6 +132,7 @@
 	c.Check(s.Dialect, qt.Equals, Platform)
 	c.Check(s.Ask, qt.Equals, 3)
 	c.Check(s.Lines, qt.Equals, 50)
+	c.Check(s.Link, qt.Equals, 12.5)
 	c.Check(s.Rules, qt.DeepEquals, []string{"budget look=20   # team: speed"})
 }
 
@@ -142,6 +143,8 @@
 		{"ready is a listener already", "ready: 127.0.0.1:8000\n", `n:10:8: key "ready": .* of callers already`},
 		{"unknown dialect", "dialect: other\n", `n:10:10: key "dialect": must be "plain" or "platform".*`},
 		{"ask too many", "ask: 17\n", `n:10:6: key "ask": must be a whole number from 0 to 16, not 17`},
+		{"link no number", "link: fast\n", `n:10:7: key "link": must be a number from 0 to 1000000, not of type string.*`},
+		{"link below 0", "link: -1\n", `n:10:7: key "link": must be a number from 0 to 1000000, not -1`},
 		{"ask no number", "ask: some\n", `n:10:6: key "ask": must be a whole number .*`},
 		{"no lines", "lines: 0\n", `n:10:8: key "lines": must be a whole number from 1 .*`},
 		{"rules no sequence", "rules: out centre=a\n", `n:10:8: key "rules": must be a sequence .*`},
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -49,6 +49,7 @@
 		{name: "dialect", optional: true, read: r.wordInto("dialect", &s.Dialect, Plain, Platform)},
 		{name: "ask", optional: true, read: r.countInto("ask", &s.Ask, 0, mostAsked)},
 		{name: "lines", optional: true, read: r.countInto("lines", &s.Lines, 1, mostLines)},
+		{name: "link", optional: true, read: r.numberInto("link", &s.Link, 0, mostLink)},
 		{name: "rules", optional: true, read: r.readRules},
 		{name: "peers", optional: true, read: r.readPeers},
 		{name: "isolated", optional: true, read: r.wordInto("isolated", &s.Isolated, Serve, Refuse)},
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// numberInto returns a function that reads a number from low to high into place.
+func (r *reader) numberInto(key string, place *float64, low, high int) func(ast.Node) {
+	want := fmt.Sprintf("a number from %d to %d", low, high)
+	return func(n ast.Node) {
+		if n.Type() != ast.IntegerType && n.Type() != ast.FloatType {
+			r.add(n, key, fmt.Sprintf("must be %s, not %s", want, kind(n)))
+			return
+		}
+		number, err := strconv.ParseFloat(n.GetToken().Value, 64)
+		if err != nil || number < float64(low) || number > float64(high) {
+			r.add(n, key, fmt.Sprintf("must be %s, not %s", want, n.GetToken().Value))
+			return
+		}
+		*place = number
+	}
+}
+
 // readRules reads the lines of rules and checks them as a part of a whole text.
 func (r *reader) readRules(n ast.Node) {
 	const key = "rules"
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/node"
 	"bulrushlock/core/pick"
+	"bulrushlock/core/shape"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/carry"
 	"bulrushlock/io/conf"
@@ -42,6 +43,7 @@
 	"bulrushlock/io/meter"
 	"bulrushlock/io/oper"
 	"bulrushlock/io/sock"
+	"bulrushlock/io/spout"
 	"bulrushlock/io/turns"
 	"bulrushlock/io/wire"
 	"bulrushlock/io/xchg"
@@ -52,6 +54,8 @@
 	reportTime = time.Second
 	// headerTime is the longest time for reading the head of a request.
 	headerTime = 10 * time.Second
+	// megabit is the number of bits in a megabit.
+	megabit = 1e6
 	// idleTime is the time after which a connection of a caller that is not used is closed.
 	idleTime = 2 * time.Minute
 	// dialTime is the longest time for making a connection to the backend server.
@@ -249,6 +253,7 @@
 	d.link = link.New(d.loop, sock.NewDialer(nodeTime))
 	dialect := d.adapter.Dialect
 	isPlain := d.settings.Dialect != conf.Platform
+	outlet := spout.New(shape.New(d.settings.Link * megabit))
 	g := gate.New(d.loop, gate.Options{
 		Node:      self,
 		Server:    d.settings.Server,
@@ -256,6 +261,7 @@
 		Finish:    d.finishTime(),
 		Dialect:   dialect,
 		Closing:   !isPlain,
+		Spout:     outlet,
 	})
 	f := front.New(d.loop, front.Options{
 		Local:    g,
@@ -266,6 +272,7 @@
 		Dialect:  dialect,
 		Service:  d.settings.Service,
 		Mute:     !isPlain,
+		Spout:    outlet,
 	})
 	d.carrier.Start(d.loop, w)
 	go w.Serve(l.control)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f := front.New(l, front.Options{Local: gate, Remote: link, Asker: wire})
+//	f := front.New(l, front.Options{Local: gate, Remote: link, Asker: wire, Spout: outlet})
 //	http.Serve(listener, f)
 package front
 
@@ -19,6 +19,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/spout"
 	"bulrushlock/io/xchg"
 )
 
@@ -42,6 +43,8 @@
 	Dialect xchg.Dialect
 	// Service is the service of the backend server beside the node.
 	Service string
+	// Spout writes the answers to callers.
+	Spout *spout.Spout
 	// Mute keeps tickets from callers, who do not know them.
 	Mute bool
 }
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -21,10 +21,12 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/node"
 	"bulrushlock/core/pick"
+	"bulrushlock/core/shape"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/gate"
 	"bulrushlock/io/link"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/spout"
 	"bulrushlock/io/turns"
 	"bulrushlock/io/wire"
 )
@@ -50,12 +52,13 @@
 	c.Cleanup(l.Stop)
 	transport := turns.New(&net.Dialer{}, turns.Options{Idle: 8, Keep: time.Minute})
 	c.Cleanup(transport.Close)
-	g := gate.New(l, gate.Options{Node: self, Server: server, Transport: transport})
+	outlet := spout.New(shape.New(0))
+	g := gate.New(l, gate.Options{Node: self, Server: server, Transport: transport, Spout: outlet})
 	k := link.New(l, &net.Dialer{})
 	c.Cleanup(k.Close)
 	w := wire.New(l, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
 	p := part{
-		callers: httptest.NewServer(New(l, Options{Local: g, Remote: k, Asker: w, Scope: tally.NoopScope})),
+		callers: httptest.NewServer(New(l, Options{Local: g, Remote: k, Asker: w, Scope: tally.NoopScope, Spout: outlet})),
 		nodes:   httptest.NewServer(g),
 	}
 	c.Cleanup(p.callers.Close)
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -49,7 +49,7 @@
 		h.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	v.writer.WriteHeader(answer.Status)
-	if err := xchg.CopyBody(v.writer, answer.Body, answer.Length); err != nil {
+	if err := v.front.options.Spout.Copy(v.request.Context(), v.writer, answer.Body, answer.Length); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	g := gate.New(l, gate.Options{Node: self, Server: server})
+//	g := gate.New(l, gate.Options{Node: self, Server: server, Spout: outlet})
 //	a, err := g.Exchange(ctx, offer) // from the entry of the same node
 //	http.Serve(listener, g)          // from the entries of other nodes
 package gate
@@ -18,6 +18,7 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/loop"
+	"bulrushlock/io/spout"
 	"bulrushlock/io/turns"
 	"bulrushlock/io/xchg"
 )
@@ -41,6 +42,8 @@
 	Finish time.Duration
 	// Dialect is that of the backend server; nil stands for the product's own.
 	Dialect xchg.Dialect
+	// Spout writes the answers to other nodes.
+	Spout *spout.Spout
 	// Closing tells that an answer without a length is whole where the backend server
 	// closes the connection in order.
 	Closing bool
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
@@ -24,7 +25,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer closeBody(a.Body)
-	g.write(w, o, a)
+	g.write(r.Context(), w, o, a)
 }
 
 // offerOf reads the attempt that r carries. It fails with the typed error of the header that is bad.
@@ -52,7 +53,7 @@
 }
 
 // write sends the answer a to the entry that made the attempt o.
-func (g *Gate) write(w http.ResponseWriter, o xchg.Offer, a xchg.Answer) {
+func (g *Gate) write(ctx context.Context, w http.ResponseWriter, o xchg.Offer, a xchg.Answer) {
 	h := w.Header()
 	xchg.CopyHeader(h, a.Header)
 	h.Set(xchg.HeaderTicket, o.Ticket.String())
@@ -70,7 +71,7 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	w.WriteHeader(a.Status)
-	if err := xchg.CopyBody(w, a.Body, a.Length); err != nil {
+	if err := g.options.Spout.Copy(ctx, w, a.Body, a.Length); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- /dev/null
+++ b/io/spout/spout_test.go
@@ -0,0 +1,75 @@
+package spout_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/shape"
+	"bulrushlock/io/spout"
+	"bulrushlock/io/xchg"
+)
+
+// copied copies a body of the given number of bytes and returns how long that took.
+func copied(t *testing.T, s *spout.Spout, ctx context.Context, size int, length int64) time.Duration {
+	t.Helper()
+	began := time.Now()
+	w := httptest.NewRecorder()
+	err := s.Copy(ctx, w, bytes.NewReader(make([]byte, size)), length)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, w.Body.Len(), qt.Equals, size)
+	return time.Since(began)
+}
+
+// Exports of 90 KB keep a link of 10 Mbit/s busy, while short answers pass at once.
+func TestShortAnswersPassExports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := spout.New(shape.New(10e6))
+		var exports sync.WaitGroup
+		for range 4 {
+			exports.Go(func() {
+				took := copied(t, s, t.Context(), 90_000, 90_000)
+				qt.Check(t, took > 250*time.Millisecond && took < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+			})
+		}
+		for range 20 {
+			time.Sleep(10 * time.Millisecond)
+			qt.Check(t, copied(t, s, t.Context(), 5_000, 5_000), qt.Equals, time.Duration(0))
+		}
+		exports.Wait()
+	})
+}
+
+func TestUnknownLinkDelaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := spout.New(shape.New(0))
+		qt.Check(t, copied(t, s, t.Context(), 1<<20, -1), qt.Equals, time.Duration(0))
+	})
+}
+
+func TestEndOfTheCallerEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := spout.New(shape.New(1e6))
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		qt.Check(t, copied(t, s, ctx, 200_000, 200_000), qt.Equals, 100*time.Millisecond)
+	})
+}
+
+func TestBrokenBodyIsAnError(t *testing.T) {
+	s := spout.New(shape.New(0))
+	body := io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	err := s.Copy(t.Context(), httptest.NewRecorder(), body, 8)
+	var broken *xchg.BrokenError
+	qt.Check(t, errors.As(err, &broken), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/io/xchg/body.go
+++ b/io/xchg/body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 )
 
 // onceBody hides from net/http that a body could be read again, so that its
@@ -57,42 +56,3 @@
 		r.Header["User-Agent"] = []string{""}
 	}
 }
-
-const (
-	// copySize is the size in bytes of the buffer through which a body is copied.
-	copySize = 32 << 10
-	// flushSize is the length in bytes up to which an answer is not flushed while it is copied.
-	flushSize = 32 << 10
-)
-
-// buffers holds the buffers through which bodies are copied.
-var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
-
-// CopyBody copies the body of an answer to w. Length is the length of the body
-// in bytes, or -1. Each part of a long body is sent at once. It fails with a
-// *BrokenError when the body or w breaks off.
-func CopyBody(w http.ResponseWriter, body io.Reader, length int64) error {
-	b := buffers.Get().(*[]byte)
-	defer buffers.Put(b)
-	flush := length < 0 || length > flushSize
-	c := http.NewResponseController(w)
-	for {
-		n, err := body.Read(*b)
-		if n > 0 {
-			if _, failed := w.Write((*b)[:n]); failed != nil {
-				return &BrokenError{Cause: failed}
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return &BrokenError{Cause: err}
-		}
-		if flush {
-			if failed := c.Flush(); failed != nil {
-				return &BrokenError{Cause: failed}
-			}
-		}
-	}
-}
