feat(core/gossip): let relays pass on the versions, so that a reader stays below 5 KB a second

Cause: the node that reads the platform told all others itself: 13 KB a second at 86 nodes, 123 KB at 820, where control may send 5 KB.

Change: above 32 peers the reader tells one node in each part of the list, which tells its part; a part is as large as there are parts. Each time it is another member, so that a relay that is gone costs its part one turn.

TestPlatformCallsDoNotGrowWithTheFleet bounds the messages of the busiest node, which failed at 86 before, and has the design size and a fleet of which a tenth is gone.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -92,6 +92,8 @@
 type Cast struct {
 	Peers    []fleet.Instance
 	Versions event.Versions
+	// Relay asks the peers to tell others in turn.
+	Relay bool
 }
 
 // Forward asks to send an attempt of a request to a guard.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -138,6 +138,8 @@
 	// Control is the address at which the peer answers calls, or the zero value where it is not told.
 	Control  netip.AddrPort
 	Versions Versions
+	// Relay tells that the peer asks this node to tell others.
+	Relay bool
 }
 
 // Time returns the time of the event.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -76,10 +76,12 @@
 	fleet    *view.View[[]fleet.Instance]
 	reads    [documents]reading
 	// rank is the place of this node among those that may read the platform.
-	rank   int
-	began  time.Time
-	round  time.Time
-	cast   time.Time
+	rank  int
+	began time.Time
+	round time.Time
+	cast  time.Time
+	// casts is the number of times that this node has told all peers.
+	casts  int
 	trust  trust
 	others []fleet.Instance
 	// instances is the list with the entries that may have lapsed, which stay until lapsed.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -195,15 +194,6 @@
 	return change, g.castAll(e.At, out)
 }
 
-// castAll tells all peers the versions that this node holds.
-func (g *Gossip) castAll(at time.Time, out []effect.Effect) []effect.Effect {
-	if len(g.others) == 0 {
-		return out
-	}
-	g.cast = at
-	return append(out, effect.Cast{Peers: slices.Clone(g.others), Versions: g.Versions(at)})
-}
-
 // askedAt returns the time at which a node asked, which is at where it is not told.
 func askedAt(asked, at time.Time) time.Time {
 	if asked.IsZero() {
--- a/core/gossip/told.go
+++ b/core/gossip/told.go
@@ -65,6 +65,9 @@
 		return Change{}, g.fetchFrom(e.At, event.Rules, p, e.Versions.Rules, out)
 	}
 	ends := g.hear(e)
+	if e.Relay && g.rules.Holds(e.Versions.Rules) && g.fleet.Holds(e.Versions.Fleet) {
+		out = g.relay(e, out)
+	}
 	if e.Asked.IsZero() {
 		return Change{Trust: ends}, out
 	}
--- a/core/gossip/watch_test.go
+++ b/core/gossip/watch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,14 +33,18 @@
 
 // fleetCalls runs nodes for a minute, whose messages to all arrive at once, and
 // returns the calls that they make on the platform. Those for which down is true get
-// no answer. It also returns the highest age of the rules that a node has had in the
-// last half of the minute.
-func fleetCalls(c *qt.C, count int, down func(node int) bool) (calls int, oldest time.Duration) {
+// no answer, and those for which gone is true are listed but do nothing. It also returns the highest age of the rules that a node has had in the
+// last half of the minute, and the number of messages a second that the node has sent
+// which sent most.
+func fleetCalls(c *qt.C, count int, down, gone func(node int) bool) (calls int, oldest time.Duration, busiest float64) {
 	now := time.Unix(1000, 0)
 	end := now.Add(time.Minute)
 	nodes := make([]*gossip.Gossip, count)
+	index := make(map[string]int, count)
+	sent := make([]int, count)
 	for i := range nodes {
 		nodes[i] = gossip.New(fmt.Sprintf("i%d", i), "north")
+		index[fmt.Sprintf("i%d", i)] = i
 		nodes[i].Start(now, nil)
 		for d, text := range map[event.Document]string{event.Rules: ruleText, event.Fleet: listText(c, count)} {
 			nodes[i].Read(event.Read{At: now, Document: d, Revision: 1, Text: text, Late: true}, 0, nil)
@@ -51,17 +56,22 @@
 		d    event.Document
 	}
 	var pending []answer
-	run := func(from int, out []effect.Effect) {
+	var run func(from int, out []effect.Effect)
+	run = func(from int, out []effect.Effect) {
 		for _, e := range out {
 			switch e := e.(type) {
 			case effect.Fetch:
 				calls++
 				pending = append(pending, answer{from, now.Add(e.Wait), e.Document})
 			case effect.Cast:
-				for i := range nodes {
-					if i != from {
-						nodes[i].Told(event.Told{At: now, Peer: fmt.Sprintf("i%d", from), Versions: e.Versions}, nil)
+				sent[from] += len(e.Peers)
+				for _, p := range e.Peers {
+					to := index[p.Name]
+					if gone(to) {
+						continue
 					}
+					_, told := nodes[to].Told(event.Told{At: now, Peer: fmt.Sprintf("i%d", from), Versions: e.Versions, Relay: e.Relay}, nil)
+					run(to, told)
 				}
 			}
 		}
@@ -81,6 +91,9 @@
 			}
 		}
 		for i, g := range nodes {
+			if gone(i) {
+				continue
+			}
 			_, out := g.Tick(event.Tick{At: now, Random: uint64(calls)*977 + uint64(i)}, false, nil)
 			run(i, out)
 			if now.After(end.Add(-30 * time.Second)) {
@@ -88,7 +101,7 @@
 			}
 		}
 	}
-	return calls, oldest
+	return calls, oldest, float64(slices.Max(sent)) / time.Minute.Seconds()
 }
 
 func TestPlatformCallsDoNotGrowWithTheFleet(t *testing.T) {
@@ -97,6 +110,8 @@
 		name  string
 		count int
 		down  func(node int) bool
+		// gone is the number of listed nodes of which one does nothing, or 0.
+		gone int
 		// most is the largest number of calls a second.
 		most float64
 		// oldest is the highest age of a view.
@@ -104,6 +119,8 @@
 	}{
 		{name: "one data centre", count: 13, down: func(int) bool { return false }, most: documents * 2, oldest: 2 * time.Second},
 		{name: "large", count: 86, down: func(int) bool { return false }, most: documents * 2, oldest: 2 * time.Second},
+		{name: "the design size", count: 820, down: func(int) bool { return false }, most: documents * 2, oldest: 2 * time.Second},
+		{name: "a tenth is gone", count: 86, down: func(int) bool { return false }, gone: 10, most: documents * 4, oldest: 2 * time.Second},
 		{name: "a third is turned away", count: 13, down: func(n int) bool { return n%3 == 0 }, most: documents * 4, oldest: 2 * time.Second},
 		{name: "all but one are turned away", count: 13, down: func(n int) bool { return n != 7 }, most: documents * 8, oldest: 2 * time.Second},
 		{name: "down for all", count: 86, down: func(int) bool { return true }, most: documents * 8, oldest: math.MaxInt64},
@@ -111,9 +128,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			calls, oldest := fleetCalls(c, tt.count, tt.down)
+			calls, oldest, busiest := fleetCalls(c, tt.count, tt.down, func(n int) bool { return tt.gone > 0 && n%tt.gone == 1 })
 			c.Assert(float64(calls-documents*tt.count)/seconds <= tt.most, qt.IsTrue, qt.Commentf("%d calls", calls))
 			c.Assert(oldest <= tt.oldest, qt.IsTrue, qt.Commentf("%v", oldest))
+			const bytes, mostBytes = 60, 5_000
+			c.Assert(busiest*bytes <= mostBytes, qt.IsTrue, qt.Commentf("%v messages a second", busiest))
 		})
 	}
 }
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -115,6 +115,9 @@
 // Cast tells peers the versions that the node holds.
 func (g *Gram) Cast(e effect.Cast) {
 	m := message{Kind: kindCast, From: g.options.Node, Versions: e.Versions}
+	if e.Relay {
+		m.Kind = kindRelay
+	}
 	for _, p := range e.Peers {
 		g.send(m, p.Control)
 	}
@@ -143,9 +146,10 @@
 		if m.Load.Blank {
 			g.help(from)
 		}
-	case kindCast:
+	case kindCast, kindRelay:
 		g.loop.Do(event.Told{
-			At: time.Now(), Peer: m.From.Instance, Control: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), Versions: m.Versions,
+			At: time.Now(), Peer: m.From.Instance, Control: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()),
+			Versions: m.Versions, Relay: m.Kind == kindRelay,
 		})
 	}
 }
--- a/io/gram/message.go
+++ b/io/gram/message.go
@@ -21,6 +21,8 @@
 	kindLoad
 	// kindCast tells the versions that the sender holds.
 	kindCast
+	// kindRelay tells them to one that is to tell others.
+	kindRelay
 )
 
 // form is the version of the form of datagrams, their first byte.
@@ -170,7 +172,7 @@
 		m.Load.Ill = marks&markIll != 0
 		m.Load.Leaving = marks&markLeaving != 0
 		m.Load.Blank = marks&markBlank != 0
-	case kindCast:
+	case kindCast, kindRelay:
 		v := &m.Versions
 		v.Rules.Revision, v.Rules.Digest = r.number(), r.number()
 		v.Fleet.Revision, v.Fleet.Digest = r.number(), r.number()
