feat: lines tell of slow spells; signals are taken before anything else; a line for each decision

A guard's lines have spell_us, the time for which it expects the spell to go on that holds work back. A node takes SIGHUP before it reads its settings, so that the time in which the signal ends it is that of its start alone. Table tests bind each decision of entry and guard to its line and the inputs.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -27,6 +27,9 @@
 
 // runNode runs a node until it has left.
 func runNode(path string, s streams) error {
+	// Before anything else: SIGHUP ends a process that does not take it.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	settings, err := conf.Load(path)
 	if err != nil {
 		return err
@@ -43,8 +46,6 @@
 		return &failedError{cause: err}
 	}
 	logger.Info("serving callers", "address", d.Settings().Callers.String())
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go watch(d, path, signals, logger)
 	d.Wait()
 	return nil
--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -34,6 +34,8 @@
 	lasting bool
 
 	inTime, late, refused int
+	// decisions are the lines of the log.
+	decisions []effect.Decision
 	// refusedLate counts the refusals after an eighth of the aim.
 	refusedLate int
 	next        uint64
@@ -85,6 +87,8 @@
 			}
 			r.admitted[e.Arrival] = r.now
 			r.most = max(r.most, len(r.ends))
+		case effect.Decision:
+			r.decisions = append(r.decisions, e)
 		case effect.Wait:
 			r.waits[e.Arrival] = r.now.Add(e.Longest)
 		case effect.Deny:
--- a/core/guard/note.go
+++ b/core/guard/note.go
@@ -38,7 +38,7 @@
 
 // facts returns what the guard decides on e by.
 func (g *Guard) facts(e event.Attempt, now time.Time) []effect.Fact {
-	facts := make([]effect.Fact, 0, 12)
+	facts := make([]effect.Fact, 0, 13)
 	facts = append(facts,
 		effect.Fact{Key: "busy", Value: int64(len(g.busy))},
 		effect.Fact{Key: "foreign", Value: int64(g.foreign)},
@@ -52,6 +52,9 @@
 	if !g.sighted.IsZero() {
 		facts = append(facts, effect.Fact{Key: "age_us", Value: now.Sub(g.sighted).Microseconds()})
 	}
+	if left := g.spell.Left(now); left > 0 {
+		facts = append(facts, effect.Fact{Key: "spell_us", Value: left.Microseconds()})
+	}
 	if g.isCold(now) {
 		facts = append(facts, effect.Fact{Key: "cold", Value: 1})
 	}
--- /dev/null
+++ b/core/guard/note_test.go
@@ -0,0 +1,59 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/effect"
+)
+
+// Each decision of a guard has a line with the inputs that it was made by.
+func TestDecisionsHaveTheirLines(t *testing.T) {
+	inputs := []string{"busy", "foreign", "bound", "waiting", "slow", "takes_us", "aim_us", "left_us", "age_us"}
+	tests := []struct {
+		name  string
+		kind  effect.DecisionKind
+		slow  int
+		sent  int
+		steps int
+		keys  []string
+	}{
+		{name: "let through at once", kind: effect.DecisionAdmitted, slow: 100, sent: 1, keys: append(inputs, "waited_us")},
+		{name: "refused at full load", kind: effect.DecisionRefused, slow: 100, sent: 40, keys: append(inputs, "reason")},
+		{name: "held in a slow spell, then let through", kind: effect.DecisionAdmitted, slow: 400, sent: 1, steps: 250, keys: append(inputs, "waited_us")},
+		{name: "refused in a slow spell", kind: effect.DecisionRefused, slow: 400, sent: 40, keys: append(inputs, "reason", "spell_us")},
+		{name: "served", kind: effect.DecisionServed, slow: 100, sent: 1, steps: 300, keys: []string{"failure", "status", "spent_us"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newReplay(c)
+			slow := tt.slow
+			r.slow = func(time.Time) int { return slow }
+			r.look(0)
+			for range tt.sent {
+				r.send(replayAim, 0, 3)
+			}
+			slow = 100
+			for range tt.steps {
+				r.step()
+			}
+			for _, d := range r.decisions {
+				if d.Kind != tt.kind {
+					continue
+				}
+				told := make(map[string]bool)
+				for _, f := range d.Facts {
+					told[f.Key] = true
+				}
+				for _, k := range tt.keys {
+					c.Check(told[k], qt.IsTrue, qt.Commentf("%s lacks %s", d.Kind, k))
+				}
+				return
+			}
+			c.Fatalf("no line %s", tt.kind)
+		})
+	}
+}
