--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -134,7 +134,7 @@
 
 // isHeld reports whether e is to wait for the end of a slow spell although there is
 // room. What is late in any case begins within the spell where nobody else is likely
-// to want its slot.
+// to want its slot. Calls are not held: a running request waits for them.
 func (g *Guard) isHeld(now time.Time, e event.Attempt) bool {
 	if e.Aim == 0 || e.Inner {
 		return false
@@ -144,8 +144,8 @@
 		return false
 	}
 	left := e.Aim - now.Sub(e.At)
-	canBeInTime := time.Duration(waitMargin*float64(takes)) < left
-	return canBeInTime || float64(len(g.busy)+g.foreign) >= spareShare*float64(g.bound())
+	isInTime := time.Duration(waitMargin*float64(takes)) < left
+	return isInTime || float64(len(g.busy)+g.foreign) >= spareShare*float64(g.bound())
 }
 
 // outside returns the time that work takes outside of slow spells which usually takes
--- a/core/line/line.go
+++ b/core/line/line.go
@@ -91,9 +91,10 @@
 }
 
 // Next returns the item that goes first of those that may begin, and leaves it in,
-// while work takes stretch times as long as usual. Items that can be in time go by rank and then by the
-// earliest due time; those that can only be if the work gets faster by rank and then
-// by the latest; and those that are late in any case by the shortest wait that is left.
+// while work takes stretch times as long as usual. Items that can be in time go by rank
+// and then by the earliest due time; those that can only be if the work gets faster by
+// rank and then by the latest; and those that are late in any case by the shortest wait
+// that is left.
 func (l *Line[T]) Next(now time.Time, stretch float64, may func(T) bool) (value T, ok bool) {
 	best := -1
 	for i := range l.items {
--- a/core/spell/spell.go
+++ b/core/spell/spell.go
@@ -19,22 +19,22 @@
 import "time"
 
 const (
-	// usual is the slowness that is taken for that outside of spells before a period of
-	// observations is over: 100 % stands for the usual time of work.
+	// usual is the slowness outside of spells, in percent, that is assumed until a
+	// period of observations is over.
 	usual = 100
 	// slowest is the factor on the time of work from which a machine is in a slow spell.
 	// Below it a wait gains little, and a cold start, which lasts longer than spells, is
 	// not taken for one.
 	slowest = 2.5
-	// firstLength is the length of a spell that is expected before one was seen: the
-	// platform says that speeds change several times a second.
+	// firstLength is the length of a spell that is expected before one was seen: speeds
+	// of shared machines change several times a second.
 	firstLength = 250 * time.Millisecond
 	// lengthWeight is the weight of the last spell in the mean length.
 	lengthWeight = 0.2
 	// agedShare is the share of its age that a spell is expected to go on at least.
 	agedShare = 0.5
-	// period is the time over which the best speed is remembered, once or twice. It is
-	// many times the length of a spell.
+	// period is the time over which the best speed is remembered, once or twice: many
+	// times the length of a spell.
 	period = 2 * time.Second
 )
 
