refactor(core, io/spout): one piece of code for parts of the list, usual times and running work

The peers without this node were gathered twice in core/gossip, and the part of the list that a relay tells was worked out in two places. The time of a class that is not known yet stood in entry and guard; it is usual.Usually now. The guard counts what runs, and tells short work, in one place each. The defaults that are not printed are the named ones.

--- a/core/entry/survey.go
+++ b/core/entry/survey.go
@@ -141,14 +141,8 @@
 // isInner reports whether a running request waits for c.
 func (c *call) isInner() bool { return c.depth.Depth > 1 }
 
-// usualOf returns the time that c takes on a backend server that works as usual, or
-// a share of its aim where nothing is known.
-func (n *Entry) usualOf(c *call) time.Duration {
-	if d, ok := n.usual.Takes(c.class, 0); ok {
-		return d
-	}
-	return c.route.Aim / 3
-}
+// usualOf returns the time that c takes on a backend server that works as usual.
+func (n *Entry) usualOf(c *call) time.Duration { return n.usual.Usually(c.class, c.route.Aim) }
 
 const (
 	// retryShare is the share of the time that a caller still has after which it is
--- a/core/gossip/cast.go
+++ b/core/gossip/cast.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -23,15 +24,12 @@
 	}
 	g.cast = at
 	g.casts++
-	all := g.instances
-	size := partSize(len(all))
 	if len(g.others) <= directMost {
-		size = 1
+		return append(out, effect.Cast{Peers: slices.Clone(g.others), Versions: g.Versions(at)})
 	}
-	c := effect.Cast{Versions: g.Versions(at), Relay: size > 1}
-	for first := 0; first < len(all); first += size {
-		part := g.withoutSelf(all[first:min(first+size, len(all))])
-		if len(part) > 0 {
+	c := effect.Cast{Versions: g.Versions(at), Relay: true}
+	for first := 0; first < len(g.instances); first += g.partSize() {
+		if part := g.partOf(first); len(part) > 0 {
 			c.Peers = append(c.Peers, part[g.casts%len(part)])
 		}
 	}
@@ -40,24 +38,28 @@
 
 // relay passes the word of a reader on to the part of the list that this node is in.
 func (g *Gossip) relay(e event.Told, out []effect.Effect) []effect.Effect {
-	size := partSize(len(g.instances))
-	for i := range g.instances {
-		if g.instances[i].Name != g.instance {
-			continue
-		}
-		first := i - i%size
-		part := g.withoutSelf(g.instances[first:min(first+size, len(g.instances))])
-		if len(part) == 0 {
-			return out
-		}
-		return append(out, effect.Cast{Peers: part, Versions: g.Versions(e.At)})
+	self := slices.IndexFunc(g.instances, func(i fleet.Instance) bool { return i.Name == g.instance })
+	if self < 0 {
+		return out
 	}
-	return out
+	part := g.partOf(self)
+	if len(part) == 0 {
+		return out
+	}
+	return append(out, effect.Cast{Peers: part, Versions: g.Versions(e.At)})
 }
 
-// partSize returns the number of instances in each part of a list of the given length,
-// with which reader and relays have the same number of peers to tell.
-func partSize(count int) int { return max(int(math.Sqrt(float64(count))), 1) }
+// partSize returns the number of instances in each part of the list, with which reader
+// and relays have the same number of peers to tell.
+func (g *Gossip) partSize() int { return max(int(math.Sqrt(float64(len(g.instances)))), 1) }
+
+// partOf returns the part of the list that holds the instance at an index, without the
+// one of this node.
+func (g *Gossip) partOf(index int) []fleet.Instance {
+	size := g.partSize()
+	first := index - index%size
+	return g.withoutSelf(g.instances[first:min(first+size, len(g.instances))])
+}
 
 // withoutSelf returns instances without the one of this node.
 func (g *Gossip) withoutSelf(instances []fleet.Instance) []fleet.Instance {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -180,12 +180,7 @@
 	if age > lapseAge && len(before) > 0 {
 		g.keepLapsed(at, before)
 	}
-	g.others = g.others[:0]
-	for _, i := range g.instances {
-		if i.Name != g.instance {
-			g.others = append(g.others, i)
-		}
-	}
+	g.others = g.withoutSelf(g.instances)
 	g.rank = rankOf(g.instance, listed)
 }
 
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -147,7 +147,7 @@
 		g.begin(e)
 	}
 	w := work{ticket: e.Ticket, idempotent: e.Idempotent, class: e.Class, name: e.Name, slow: g.sight.Slow, began: e.At}
-	w.short = e.Inner || g.usual.IsShort(e.Class)
+	w.short = g.isShort(e)
 	if w.short {
 		g.short++
 	}
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -192,7 +192,7 @@
 // Load returns the load report that rides on answers.
 func (g *Guard) Load(now time.Time) report.Load {
 	return report.Load{
-		InFlight: len(g.busy) + g.foreign,
+		InFlight: g.running(),
 		Queued:   g.waiting.Len() + g.line.Len(),
 		Wait:     g.wait(now),
 		Limit:    g.bound(),
@@ -261,16 +261,22 @@
 	return g.pace.Take(now)
 }
 
+// running returns the number of requests that the backend server runs.
+func (g *Guard) running() int { return len(g.busy) + g.foreign }
+
+// isShort reports whether e is a call of a running request, or as short as one.
+func (g *Guard) isShort(e event.Attempt) bool { return e.Inner || g.usual.IsShort(e.Class) }
+
 // hasRoom reports whether e may run now. Short work and calls of running requests may
 // take the last slots, and are left room by the rest: what waits for them holds a slot
 // elsewhere.
 func (g *Guard) hasRoom(e event.Attempt) bool {
 	bound := g.bound()
-	running := len(g.busy) + g.foreign
+	running := g.running()
 	if !g.isPaced() || bound == 0 {
 		return running < bound
 	}
-	if e.Inner || g.usual.IsShort(e.Class) {
+	if g.isShort(e) {
 		return running < max(g.slots(), 1)
 	}
 	kept := max(0, int(g.shorts+shortRounding)-g.short)
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -35,17 +35,8 @@
 	return time.Duration(float64(g.usually(e)) * g.stretch(e.At, g.slowness(e.At)))
 }
 
-// unknownShare is the share of its aim that work is expected to take of whose class
-// nothing is known.
-const unknownShare = 1.0 / 3
-
 // usually returns the time that e takes on a backend server that works as usual.
-func (g *Guard) usually(e event.Attempt) time.Duration {
-	if d, ok := g.usual.Takes(e.Class, 0); ok {
-		return d
-	}
-	return time.Duration(unknownShare * float64(e.Aim))
-}
+func (g *Guard) usually(e event.Attempt) time.Duration { return g.usual.Usually(e.Class, e.Aim) }
 
 // stretch returns the factor on the time of work that begins now. A cold start lasts
 // longer than the work, while a slow stretch may end within it.
@@ -69,7 +60,7 @@
 // others ahead of it while all of the bound run.
 func (g *Guard) waitBehind(now time.Time, ahead, bound int) time.Duration {
 	wait := g.usual.Mean(g.slowness(now)) * time.Duration(ahead+1) / time.Duration(bound)
-	if len(g.busy)+g.foreign+ahead < bound {
+	if g.running()+ahead < bound {
 		wait = 0
 	}
 	if !g.isPaced() {
@@ -85,8 +76,7 @@
 	if bound == 0 {
 		return g.refuse(e, effect.ReasonBusy, out)
 	}
-	takes := g.takes(e)
-	usually := time.Duration(float64(takes) / g.stretch(e.At, g.slowness(e.At)))
+	takes, usually := g.takes(e), g.usually(e)
 	if g.isHeld(e.At, e) {
 		takes = g.outside(usually)
 	}
@@ -145,7 +135,7 @@
 	}
 	left := e.Aim - now.Sub(e.At)
 	isInTime := time.Duration(waitMargin*float64(takes)) < left
-	return isInTime || float64(len(g.busy)+g.foreign) >= spareShare*float64(g.bound())
+	return isInTime || float64(g.running()) >= spareShare*float64(g.bound())
 }
 
 // outside returns the time that work takes outside of slow spells which usually takes
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -73,8 +73,8 @@
 	intKey("look", 1, maxRate, "2", func(b *Budget) *int { return &b.Look }),
 	shareKey("retry", "10%", func(b *Budget) *float64 { return &b.Retry }),
 	shareKey("hedge", "2%", func(b *Budget) *float64 { return &b.Hedge }),
-	optional(decimalKey("over", 1, maxOver, "1.5", func(b *Budget) *float64 { return &b.Over }), "1"),
-	optional(decimalKey("slack", 0, maxSlack, "5", func(b *Budget) *float64 { return &b.Slack }), "2"),
+	optional(decimalKey("over", 1, maxOver, "1.5", func(b *Budget) *float64 { return &b.Over }), strconv.Itoa(defaultOver)),
+	optional(decimalKey("slack", 0, maxSlack, "5", func(b *Budget) *float64 { return &b.Slack }), strconv.Itoa(defaultSlack)),
 }
 
 // outNames holds the names that an out rule may give; one of them is set.
--- a/core/usual/usual.go
+++ b/core/usual/usual.go
@@ -29,6 +29,9 @@
 	// time: one rare class of long work does not make all the rest short.
 	shortShare  = 0.5
 	shareOfMean = 0.75
+	// unknownParts is the number of parts of its aim of which work is expected to take one
+	// where nothing is known of its class.
+	unknownParts = 3
 	// mostClasses is the number of classes that are remembered.
 	mostClasses = 4096
 )
@@ -95,6 +98,15 @@
 	return time.Duration(float64(m.time) * Stretch(slow)), true
 }
 
+// Usually returns the time that work of a class takes on a backend server that works as
+// usual, or a part of its aim where nothing is known of the class.
+func (u *Usual) Usually(class int, aim time.Duration) time.Duration {
+	if d, ok := u.Takes(class, 0); ok {
+		return d
+	}
+	return aim / unknownParts
+}
+
 // Mean returns the time that work of any class is expected to take if it begins now.
 func (u *Usual) Mean(slow int) time.Duration {
 	return time.Duration(float64(u.all.time) * Stretch(slow))
--- a/io/spout/spout.go
+++ b/io/spout/spout.go
@@ -21,7 +21,7 @@
 	"bulrushlock/io/xchg"
 )
 
-// shortSize is the length in bytes up to which a body is sent in one piece and at once.
+// shortSize is the length in bytes up to which a body does not wait for its turn.
 const shortSize = 32 << 10
 
 // Spout writes bodies.
@@ -41,7 +41,7 @@
 
 // Copy copies the body of an answer to w. Length is the length of the body in bytes, or
 // -1. Each part of a long body is sent at once when its turn comes. It fails with a
-// *xchg.BrokenError when the body or w breaks off, or ctx ends.
+// *xchg.BrokenError when the body or w breaks off. The end of ctx ends the waits.
 func (s *Spout) Copy(ctx context.Context, w http.ResponseWriter, body io.Reader, length int64) error {
 	b := s.buffers.Get().(*[]byte)
 	defer s.buffers.Put(b)
