fix(io/soak): a paused backend server is ended by nobody and resumed in time

The soak paused the stand-in of instance 5 for 50 s, since the resume waited for the lock that the restart of its node held, and a shell beside it ended meanwhile. Second symptom: the ports came from the range of outgoing connections and were free for a moment before the nodes bound them; a node that cannot bind exits, and nobody restarted it until all were ready.

Change: each process has a group of its own; signals to a backend server take no lock; ports lie below the ephemeral range; nodes that exit before they are ready are restarted, and the error tells how they exited; a backend server that exits is one violation with its exit status in place of one for each claim.

--- a/io/soak/deployment.go
+++ b/io/soak/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -58,6 +59,14 @@
 	}
 }
 
+// exitStatus returns how the process exited, or an empty text while it runs.
+func (p *process) exitStatus() string {
+	if !p.hasExited() {
+		return ""
+	}
+	return p.ProcessState.String()
+}
+
 // deployment is a set of real processes and the proxies in front of them.
 type deployment struct {
 	program         string
@@ -84,18 +93,32 @@
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Cause }
 
-// freeAddresses returns count loopback addresses that are currently not in use.
+const (
+	// minPort and portCount are the ports of the deployment. They lie below the range from
+	// which the kernel takes the ports of outgoing connections.
+	minPort   = 10_000
+	portCount = 20_000
+)
+
+// freeAddresses returns count loopback addresses that are currently not in use. They are
+// chosen at random, so that deployments that start at the same time rarely collide.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for _, offset := range rand.Perm(portCount) {
+		if len(list) == count {
+			return list, nil
+		}
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(minPort+offset))
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+		list = append(list, a)
 	}
-	return list, nil
+	return nil, &net.AddrError{Err: "no free port", Addr: "127.0.0.1"}
 }
 
 // spawn starts a process of the program and appends its output to NAME.log.
@@ -107,22 +130,31 @@
 	defer func() { _ = out.Close() }()
 	c := exec.Command(d.program, args...)
 	c.Stdout, c.Stderr = out, out
+	// A group of its own keeps a paused process from the SIGHUP that the kernel sends to
+	// orphaned groups with paused processes.
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := c.Start(); err != nil {
 		return nil, &StartError{Name: name, Cause: err}
 	}
 	p := &process{Cmd: c, exited: make(chan struct{})}
 	go func() {
-		// Ignore the exit status: it depends on the fault that ended the process.
+		// The error repeats the exit status, which exitStatus returns.
 		_ = c.Wait()
 		close(p.exited)
 	}()
 	return p, nil
 }
 
+// newClient returns the client for the operators' listeners of nodes and for the backend
+// servers.
+func newClient() *http.Client {
+	return &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: checkWorkers}}
+}
+
 // startDeployment starts all processes, with their files in folder. If it fails after
 // the first proxy was started, it may return a partial deployment with the error.
 func startDeployment(program, folder string, count int) (*deployment, error) {
-	d := &deployment{program: program, folder: folder, client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: checkWorkers}}, evacuations: make(map[string]int)}
+	d := &deployment{program: program, folder: folder, client: newClient(), evacuations: make(map[string]int)}
 	ports, err := freeAddresses(2 + 6*count)
 	if err != nil {
 		return nil, &StartError{Name: "ports", Cause: err}
@@ -234,12 +266,14 @@
 }
 
 // signal sends s to the backend server of an instance if server is set, else to its node.
+// The backend server is never replaced, so that its signals do not wait for a restart of
+// the node.
 func (n *instance) signal(s syscall.Signal, server bool) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	c := n.node
-	if server {
-		c = n.serverProcess
+	c := n.serverProcess
+	if !server {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		c = n.node
 	}
 	// Signal fails only if the process has exited; it then needs no signal.
 	_ = c.Process.Signal(s)
@@ -298,18 +332,25 @@
 	return json.NewDecoder(r.Body).Decode(into)
 }
 
-// waitReady waits until every node holds rules and an instance list. It returns a
-// *StartError if ctx is done first.
+// waitReady waits until every node holds rules and an instance list, and restarts nodes
+// that exit meanwhile. It returns a *StartError if ctx is done first.
 func (d *deployment) waitReady(ctx context.Context) error {
 	for _, n := range d.instances {
+		exit := ""
 		for {
 			s, err := d.status(n)
 			if err == nil && s.Rules > 0 && s.Fleet > 0 {
 				break
 			}
+			if status := n.node.exitStatus(); status != "" {
+				exit = status
+			}
+			if err := d.supervise(); err != nil {
+				return err
+			}
 			select {
 			case <-ctx.Done():
-				return &StartError{Name: n.name, Cause: ctx.Err()}
+				return &StartError{Name: n.name, Cause: fmt.Errorf("%w; last exit of the node: %q", ctx.Err(), exit)}
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -131,7 +131,9 @@
 		return Report{}, err
 	}
 	s.runSchedule(ctx)
-	s.check()
+	if s.checkServers() {
+		s.check()
+	}
 	return s.report(), nil
 }
 
@@ -308,6 +310,19 @@
 // checkWorkers is the number of claims that are checked in parallel.
 const checkWorkers = 8
 
+// checkServers reports whether all backend servers still run. One that has exited, which
+// no fault of a schedule causes, is a violation, and the runs of claims are then unknown.
+func (s *Soak) checkServers() bool {
+	running := true
+	for _, n := range s.deployment.instances {
+		if status := n.serverProcess.exitStatus(); status != "" {
+			s.addViolation("backend server of %s exited: %s", n.name, status)
+			running = false
+		}
+	}
+	return running
+}
+
 // check compares the results of all claims with the runs on the backend servers.
 func (s *Soak) check() {
 	claims := make(chan result)
