fix: a panic ends one request, and a leaving node cuts off no connection it was sent

Cause: net/rpc lets a panic of a method end the process, as do goroutines of the node's own, and a panic of the reducer under an HTTP request was recovered by net/http with the lock of the loop held for ever. Change: the loop recovers from a panic of the reducer and ends the wait of whoever the event belonged to with an unknown outcome; RPC methods, datagrams, background work, attempts in goroutines of their own, request bodies and handlers recover too; each panic is counted (`panics`) and logged with its place. What was admitted stays recorded, so that nothing runs twice.

Planned stop. Cause: http.Server.Shutdown closes the listener, and the kernel resets the connections that it has opened and that nobody has accepted. Change: a filter on the listener drops the segments that open connections, the node accepts for 100 ms what is open, and then shuts down.

The wait before a repeated query of an outcome ends when the caller goes away.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -44,7 +44,6 @@
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 	"bulrushlock/io/pool"
-	"bulrushlock/io/proto"
 	"bulrushlock/io/remote"
 	"bulrushlock/io/runner"
 	"bulrushlock/io/sock"
@@ -59,6 +58,9 @@
 	// maxHeaderSize is the size in bytes of the largest header of a request. Each line
 	// takes several times its size in memory once it is parsed.
 	maxHeaderSize = 32 << 10
+	// acceptTime is the time in which a leaving node accepts the connections that were opened
+	// before it stopped taking new ones. It covers a few round trips to callers.
+	acceptTime = 100 * time.Millisecond
 	// megabit converts megabits to bits.
 	megabit = 1e6
 	// idleTimeout is the time after which an idle connection to one of the HTTP
@@ -93,11 +95,13 @@
 	remote      *remote.Exchanger
 	control     net.Listener
 	servers     []*http.Server
-	metrics     interface{ Close() error }
-	leaving     atomic.Bool
-	drained     chan struct{}
-	drainedOnce sync.Once
-	ended       chan struct{}
+	// requestListeners are the listeners for requests of callers and of other nodes.
+	requestListeners []net.Listener
+	metrics          interface{ Close() error }
+	leaving          atomic.Bool
+	drained          chan struct{}
+	drainedOnce      sync.Once
+	ended            chan struct{}
 }
 
 // ListenError is returned if a listener cannot be opened.
@@ -268,7 +272,7 @@
 	g := gate.New(d.loop, gate.Options{
 		Node:                 self,
 		Server:               d.settings.Server,
-		Transport:            serverTransport(dialect),
+		Transport:            d.serverTransport(),
 		DeadlineOverrun:      d.deadlineOverrun(),
 		Dialect:              dialect,
 		AcceptCloseDelimited: !isPlain,
@@ -287,6 +291,7 @@
 	})
 	d.background.Start(d.loop, w)
 	go w.Serve(l.control)
+	d.requestListeners = []net.Listener{l.callers, l.nodes}
 	d.serveHTTP(l.callers, f)
 	d.serveHTTP(l.nodes, g)
 	d.serveHTTP(l.operators, admin.New(d.loop, metrics))
@@ -300,7 +305,7 @@
 // serveHTTP starts an HTTP server for h on l.
 func (d *Daemon) serveHTTP(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler:           &drainHandler{handler: h, leaving: &d.leaving},
+		Handler:           &recoverHandler{handler: &drainHandler{handler: h, leaving: &d.leaving}, report: d.loop.ReportPanic},
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderSize,
 		IdleTimeout:       idleTimeout,
@@ -317,12 +322,13 @@
 }
 
 // serverTransport returns the transport to the backend server.
-func serverTransport(d proto.Dialect) *pool.Transport {
+func (d *Daemon) serverTransport() *pool.Transport {
 	return pool.New(sock.NewDialer(serverDialTimeout), pool.Options{
 		MaxIdle:     maxIdleServerConns,
 		IdleTimeout: serverIdleTimeout,
+		ReportPanic: d.loop.ReportPanic,
 		Match: func(r *http.Request, a *http.Response) bool {
-			return d.Matches(r.Header, a.Header)
+			return d.adapter.Dialect.Matches(r.Header, a.Header)
 		},
 	})
 }
@@ -379,11 +385,23 @@
 // Wait waits until the node has stopped.
 func (d *Daemon) Wait() { <-d.ended }
 
+// stopConnections takes no new connections for requests and waits until those that have just
+// been opened are accepted, so that their requests get responses.
+func (d *Daemon) stopConnections() {
+	for _, l := range d.requestListeners {
+		if err := sock.StopConnections(l); err != nil {
+			d.logger.Warn("connections that open now may be reset", "error", err)
+		}
+	}
+	time.Sleep(acceptTime)
+}
+
 // shutdown stops the node once it has drained. It waits without a timeout for responses
 // that are still being sent.
 func (d *Daemon) shutdown() {
 	defer close(d.ended)
 	<-d.drained
+	d.stopConnections()
 	for _, s := range d.servers {
 		if err := s.Shutdown(context.Background()); err != nil {
 			d.logger.Error("shutdown", "error", err)
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -1,10 +1,34 @@
 package daemon
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 )
 
+// recoverHandler serves requests. It counts and logs a panic of its handler and aborts the
+// connection of the request.
+type recoverHandler struct {
+	handler http.Handler
+	// report is called with a panic that does not abort the connection on purpose.
+	report func(place string, p any)
+}
+
+// ServeHTTP serves one request.
+func (h *recoverHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			h.report("request", p)
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	h.handler.ServeHTTP(w, r)
+}
+
 // drainHandler serves requests. While the node drains, each response closes its
 // connection. Idle connections stay open, because closing one could cut off a request
 // that arrives at the same time.
--- a/io/daemon/gauge.go
+++ b/io/daemon/gauge.go
@@ -76,6 +76,7 @@
 
 // updateGauges updates the gauges at each report interval until the node has stopped.
 func (d *Daemon) updateGauges(g gauges) {
+	defer d.loop.Recover("gauges")
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
 	for {
--- a/io/dgram/dgram.go
+++ b/io/dgram/dgram.go
@@ -133,6 +133,7 @@
 
 // receive processes a datagram.
 func (tr *Transport) receive(b []byte, from netip.AddrPort) {
+	defer tr.loop.Recover("datagram")
 	m, err := parse(b)
 	if err != nil {
 		tr.options.Logger.Debug("datagram not parsed", "from", from, "error", err)
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -145,7 +145,15 @@
 		cr.exchange(ctx, a, e, attempt)
 		return
 	}
-	go cr.exchange(ctx, a, e, attempt)
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				cr.front.loop.ReportPanic("attempt", p)
+				cr.front.loop.Process(event.AttemptEnded{At: time.Now(), ID: cr.id, Ticket: e.Ticket, Verdict: event.Broken, Random: rand.Uint64()})
+			}
+		}()
+		cr.exchange(ctx, a, e, attempt)
+	}()
 	if e.HedgeDelay > 0 {
 		time.AfterFunc(e.HedgeDelay, func() {
 			cr.front.loop.Process(event.HedgeDelayPassed{At: time.Now(), ID: cr.id, Random: rand.Uint64()})
@@ -270,11 +278,23 @@
 	}
 }
 
+// pause waits for d. It returns false if the caller disconnects first.
+func (cr *callerRequest) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-cr.request.Context().Done():
+		return false
+	}
+}
+
 // queryOutcome queries the guard of an attempt for its outcome and passes the
 // result to the entry.
 func (cr *callerRequest) queryOutcome(e effect.QueryOutcome) {
-	if e.Delay > 0 {
-		time.Sleep(e.Delay)
+	if e.Delay > 0 && !cr.pause(e.Delay) {
+		return
 	}
 	verdict, response := cr.front.options.Querier.QueryOutcome(cr.request.Context(), e)
 	cr.recovered = response
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -79,7 +79,16 @@
 		return g.handle(ctx, attempt), nil
 	}
 	responses := make(chan proto.Response, 1)
-	go func() { responses <- g.handle(ctx, attempt) }()
+	go func() {
+		response := proto.Response{Outcome: effect.Unknown, Reason: effect.ReasonBroken, Guard: g.options.Node, Body: http.NoBody}
+		defer func() {
+			if p := recover(); p != nil {
+				g.loop.ReportPanic("attempt", p)
+			}
+			responses <- response
+		}()
+		response = g.handle(ctx, attempt)
+	}()
 	overdue := time.NewTimer(attempt.HeaderTimeout)
 	defer overdue.Stop()
 	select {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -151,19 +151,21 @@
 	return len(l.mailboxes)
 }
 
-// Process passes e to the reducer and dispatches the resulting effects.
+// Process passes e to the reducer and dispatches the resulting effects. A panic of the
+// reducer is counted and logged, and loses the effects of this event only.
 func (l *Loop) Process(e event.Event) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	defer l.recoverStep(e)
 	l.effects = l.node.Step(e, l.effects[:0])
 	l.dispatch(l.effects)
-	l.mutex.Unlock()
 }
 
 // View calls f with the reducer. No event is processed until f returns.
 func (l *Loop) View(f func(n *node.Node)) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	f(l.node)
-	l.mutex.Unlock()
 }
 
 // LoadReport returns the load report that responses carry and the versions that the node holds.
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -121,8 +121,9 @@
 const continueTimeout = time.Second
 
 // writeRequest writes r. A long body is written while the response is read,
-// since the server may respond before it has read the whole body.
-func (c *conn) writeRequest(r *http.Request) error {
+// since the server may respond before it has read the whole body. It calls report with a
+// panic of that body.
+func (c *conn) writeRequest(r *http.Request, report func(place string, p any)) error {
 	c.written.Store(false)
 	c.bodyRead.Store(false)
 	if r.Body == nil || r.Body == http.NoBody {
@@ -141,6 +142,14 @@
 	body.done = c.done
 	body.flushFirst = true
 	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				_ = c.Close()
+				if report != nil {
+					report("request body", p)
+				}
+			}
+		}()
 		err := c.writeMessage(r, body)
 		c.bodyWriting.Store(err != nil)
 		if err != nil && !isPeerClosed(err) {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -67,6 +67,9 @@
 	// Match reports whether a response belongs to a request; nil accepts every
 	// response.
 	Match func(r *http.Request, a *http.Response) bool
+	// ReportPanic is called with a panic of a request body that is being sent, which closes
+	// the connection; nil ignores it.
+	ReportPanic func(place string, p any)
 }
 
 // Transport sends requests. It is safe for concurrent use.
@@ -237,7 +240,7 @@
 		}
 		return nil, err
 	}
-	if err := c.writeRequest(r); err != nil {
+	if err := c.writeRequest(r, t.options.ReportPanic); err != nil {
 		return fail(err)
 	}
 	response, err := t.readResponse(c, r)
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -52,7 +52,7 @@
 
 // New returns an Exchanger without connections; d makes them.
 func New(l *loop.Loop, d pool.Dialer) *Exchanger {
-	return &Exchanger{loop: l, transport: pool.New(d, pool.Options{MaxIdle: maxIdlePerNode, IdleTimeout: idleTimeout})}
+	return &Exchanger{loop: l, transport: pool.New(d, pool.Options{MaxIdle: maxIdlePerNode, IdleTimeout: idleTimeout, ReportPanic: l.ReportPanic})}
 }
 
 // Close closes all idle connections.
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -126,14 +126,31 @@
 	r.running.Go(func() {
 		select {
 		case <-r.ready:
+			defer r.loop.Recover("background work")
 			f()
 		case <-r.context.Done():
 		}
 	})
 }
 
+// processOnPanic recovers from a panic of the goroutine that defers it. In place of the event
+// that the panic has prevented it processes failed, so that the reducer does not wait for it.
+func (r *Runner) processOnPanic(failed func() event.Event) {
+	if p := recover(); p != nil {
+		r.loop.ReportPanic("background work", p)
+		r.loop.Process(failed())
+	}
+}
+
 // fetch reads a document from the platform or from a peer.
 func (r *Runner) fetch(e effect.FetchDocument) {
+	defer r.processOnPanic(func() event.Event {
+		failed := event.DocumentReadFailed{At: time.Now(), Document: e.Document}
+		if e.Peer != nil {
+			failed.From.Peer = e.Peer.Name
+		}
+		return failed
+	})
 	if e.Peer != nil {
 		r.fetchFromPeer(e.Peer.ControlAddr, event.DocumentSource{Peer: e.Peer.Name}, e.Document)
 		return
@@ -179,6 +196,7 @@
 
 // exchangeVersions exchanges versions with a peer.
 func (r *Runner) exchangeVersions(e effect.ExchangeVersions) {
+	defer r.processOnPanic(func() event.Event { return event.PeerUnreachable{At: time.Now(), Peer: e.Peer.Name} })
 	queriedAt := time.Now()
 	response, err := r.wire.ExchangeVersions(r.context, e.Peer.ControlAddr, e.Versions)
 	if err != nil {
@@ -230,6 +248,7 @@
 // checkHealth checks the health of this node's backend server.
 func (r *Runner) checkHealth(e effect.CheckHealth) {
 	defer r.checkingHealth.Store(false)
+	defer r.processOnPanic(func() event.Event { return event.HealthChecked{At: time.Now(), State: event.Unreachable} })
 	ctx, cancel := context.WithTimeout(r.context, healthCheckTimeout)
 	defer cancel()
 	s, err := r.options.HealthChecker.Check(ctx, e.Path)
--- a/io/wire/service.go
+++ b/io/wire/service.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -93,8 +94,26 @@
 	endpoint *Endpoint
 }
 
+// PanicError is the response to a call whose method panicked.
+type PanicError struct {
+	Method string
+}
+
+// Error returns a message that names the method.
+func (e *PanicError) Error() string { return fmt.Sprintf("method %s panicked", e.Method) }
+
+// recover recovers from a panic of an RPC method, which net/rpc would let end the process. It
+// sets err to a *PanicError.
+func (h *handler) recover(method string, err *error) {
+	if p := recover(); p != nil {
+		h.endpoint.loop.ReportPanic("call "+method, p)
+		*err = &PanicError{Method: method}
+	}
+}
+
 // Ask returns the outcome of an attempt.
-func (h *handler) Ask(q OutcomeRequest, r *OutcomeResponse) error {
+func (h *handler) Ask(q OutcomeRequest, r *OutcomeResponse) (err error) {
+	defer h.recover("Ask", &err)
 	w := h.endpoint
 	w.loop.MergeStamp(q.Stamp)
 	verdict, stored := w.queryLocalGuard(q)
@@ -107,7 +126,8 @@
 }
 
 // Tell passes the sender's versions to the reducer and returns those of this node.
-func (h *handler) Tell(q VersionsRequest, r *VersionsResponse) error {
+func (h *handler) Tell(q VersionsRequest, r *VersionsResponse) (err error) {
+	defer h.recover("Tell", &err)
 	w := h.endpoint
 	w.loop.MergeStamp(q.Stamp)
 	now := time.Now()
@@ -119,16 +139,17 @@
 }
 
 // Fetch returns a document that this node holds.
-func (h *handler) Fetch(q DocumentRequest, r *DocumentResponse) error {
+func (h *handler) Fetch(q DocumentRequest, r *DocumentResponse) (err error) {
+	defer h.recover("Fetch", &err)
 	var text string
 	h.endpoint.loop.View(func(n *node.Node) { text, r.Revision = n.Text(q.Document) })
-	var err error
 	r.Packed, err = h.endpoint.compressor.compress(q.Document, text)
 	return err
 }
 
 // Probe returns the load of the guard.
-func (h *handler) Probe(_ LoadRequest, r *LoadResponse) error {
+func (h *handler) Probe(_ LoadRequest, r *LoadResponse) (err error) {
+	defer h.recover("Probe", &err)
 	w := h.endpoint
 	id, box := w.loop.OpenMailbox()
 	defer w.loop.CloseMailbox(id)
@@ -141,7 +162,8 @@
 }
 
 // Events returns events of the event log.
-func (h *handler) Events(q EventsRequest, r *EventsResponse) error {
+func (h *handler) Events(q EventsRequest, r *EventsResponse) (err error) {
+	defer h.recover("Events", &err)
 	r.From = h.endpoint.self
 	r.Records, r.Next, r.Dropped = h.endpoint.loop.Events(q.Sequence, eventsLimit)
 	return nil
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -93,3 +93,15 @@
 	verdict, _ := w.QueryOutcome(t.Context(), effect.QueryOutcome{Ticket: ticket.Ticket{Sequence: 1}, Peer: fleet.Instance{ControlAddr: peer}, Void: true})
 	c.Check(verdict, qt.Equals, event.Broken)
 }
+
+func TestPanicOfMethodFailsItsCall(t *testing.T) {
+	c := qt.New(t)
+	w, _ := newEndpoint(c, ticket.NodeID{Instance: "filing-1", Incarnation: 1})
+	h := &handler{endpoint: w}
+	call := func() (err error) {
+		defer h.recover("Ask", &err)
+		panic("broken")
+	}
+	var panicked *PanicError
+	c.Check(errors.As(call(), &panicked), qt.IsTrue)
+}
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -142,3 +145,42 @@
 	_, err = io.ReadAll(r.Body)
 	return err
 }
+
+// cutOff sends a lookup on a new connection. It reports whether the node accepted the
+// connection and then closed it without a response.
+func cutOff(a netip.AddrPort) bool {
+	conn, err := net.DialTimeout("tcp", a.String(), maxWait)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(maxWait)); err != nil {
+		return true
+	}
+	return roundTrip(conn) != nil
+}
+
+// Connections that the kernel has accepted for a leaving node must get a response, up to the
+// moment from which new ones are refused.
+func TestLeavingNodeRespondsOnEachAcceptedConnection(t *testing.T) {
+	s := newSystem(t, options{drain: "300ms"})
+	c := s.c
+	s.warmUp()
+	var cut, sent atomic.Int32
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for !s.instances[1].node.hasEnded() {
+				sent.Add(1)
+				if cutOff(s.instances[1].callers) {
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	waitUntil(c, "callers send requests", func() bool { return sent.Load() > 100 })
+	s.instances[1].node.signal(c, syscall.SIGTERM)
+	c.Check(s.waitExit(1), qt.Equals, 0)
+	callers.Wait()
+	c.Check(cut.Load(), qt.Equals, int32(0), qt.Commentf("of %d requests", sent.Load()))
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -84,6 +84,16 @@
 	c.Assert(p.command.Process.Signal(s), qt.IsNil)
 }
 
+// hasEnded reports whether the process has exited.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // kill kills the process and waits for its exit.
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
