--- a/cmd/trace.go
+++ b/cmd/trace.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"bulrushlock/core/reqlog"
+	"bulrushlock/io/proto"
 )
 
 // maxLineBytes is the size in bytes of the longest log line that can be read.
@@ -21,13 +23,22 @@
 	c := a.Command("trace", "Trace one request through the logs of nodes and print its steps in causal order. "+
 		"The last line says why the request ended as it did. The exit status is 1 when no log line "+
 		"mentions the request.\n\nExample: bulrushlock trace 9c41d07be2a35f68 node-1.log node-2.log")
-	c.Arg("id", "The request id that the caller set.").Required().StringVar(&id)
+	c.Arg("id", "The request id that the caller set, or that the response has in the header "+proto.HeaderID+".").Required().StringVar(&id)
 	c.Arg("file", "Log files of nodes; - reads the standard input.").Required().StringsVar(&files)
 	c.Action(func(*kingpin.ParseContext) error {
 		return runTrace(id, files, os.Stdin, s)
 	})
 }
 
+// emptyIDError is returned for an empty request id, which would select all lines that belong
+// to no request.
+type emptyIDError struct{}
+
+// Error returns a message that says where to find the id.
+func (*emptyIDError) Error() string {
+	return "trace: the request id is empty; give the id that the caller set, or the one in the response header " + proto.HeaderID
+}
+
 // noTraceError is returned if no log line mentions the request.
 type noTraceError struct {
 	id string
@@ -41,6 +52,9 @@
 // runTrace prints the decisions on the request with the given id, and why it ended as it
 // did.
 func runTrace(id string, files []string, in io.Reader, s streams) error {
+	if strings.TrimSpace(id) == "" {
+		return &emptyIDError{}
+	}
 	t := reqlog.New(id)
 	for _, name := range files {
 		if err := addFile(t, name, in); err != nil {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -86,7 +86,7 @@
 // ServeHTTP handles one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	e, p := f.checkRequest(r)
+	e, p := f.checkRequest(w, r)
 	if p != nil {
 		writeProblem(w, *p)
 		return
@@ -109,9 +109,10 @@
 	cr.run()
 }
 
-// checkRequest parses r into the event for the entry. It returns a problem if r
-// is rejected.
-func (f *Front) checkRequest(r *http.Request) (event.Request, *problem) {
+// checkRequest parses r into the event for the entry. If the caller chose no request
+// ID, it assigns one and adds it to the header of the response. It returns a problem
+// if r is rejected.
+func (f *Front) checkRequest(w http.ResponseWriter, r *http.Request) (event.Request, *problem) {
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
 		return event.Request{}, &problem{Status: http.StatusNotImplemented, Outcome: effect.NotRun.String(), Reason: "upgrade"}
 	}
@@ -130,6 +131,10 @@
 		p := &problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "header", Detail: err.Error()}
 		return event.Request{}, p
 	}
+	if e.Name == "" {
+		e.Name = newRequestID()
+		w.Header().Set(proto.HeaderID, e.Name)
+	}
 	return e, nil
 }
 
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -70,6 +70,10 @@
 	return e, nil
 }
 
+// newRequestID returns an ID for a request whose caller chose none. Without one the log lines
+// of the request could not be found.
+func newRequestID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // hostOf returns a host name in lower case, without its port.
 func hostOf(text string) string {
 	if host, _, err := net.SplitHostPort(text); err == nil {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -100,16 +100,6 @@
 	}
 }
 
-// requestName returns the request name that the caller chose.
-func (g *Gate) requestName(attempt proto.Attempt) string {
-	info, err := g.options.Dialect.ParseRequest(attempt.Header)
-	if err != nil {
-		// The entry has already accepted the same headers.
-		return ""
-	}
-	return info.Name
-}
-
 // handle submits an attempt to the guard and waits for the response.
 func (g *Gate) handle(ctx context.Context, attempt proto.Attempt) proto.Response {
 	arrival, box := g.loop.OpenMailbox()
@@ -124,7 +114,7 @@
 		TimeLeft:   attempt.HeaderTimeout,
 		TargetLeft: attempt.TargetLeft,
 		Nested:     attempt.Nested,
-		Name:       g.requestName(attempt),
+		Name:       attempt.Name,
 		Key:        attempt.Key,
 		FirstUse:   attempt.First,
 		Rules:      attempt.Versions.Rules,
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -39,6 +39,7 @@
 		Body:   r.Body,
 		Length: r.ContentLength,
 		Key:    r.Header.Get(proto.HeaderPrefix + "Key"),
+		Name:   r.Header.Get(proto.HeaderID),
 	}
 	var err error
 	if attempt.Ticket, err = ticket.Parse(r.Header.Get(proto.HeaderTicket)); err != nil {
--- a/io/proto/dialect.go
+++ b/io/proto/dialect.go
@@ -63,10 +63,17 @@
 
 var _ Dialect = Plain{}
 
-// ParseRequest parses the call header.
+// maxIDSize is the maximum size in bytes of a request ID that a caller chooses.
+const maxIDSize = 128
+
+// ParseRequest parses the request ID and the call header.
 func (Plain) ParseRequest(h http.Header) (RequestInfo, error) {
+	id := h.Get(HeaderID)
+	if len(id) > maxIDSize {
+		return RequestInfo{}, &HeaderError{Name: HeaderID, Text: id[:maxIDSize]}
+	}
 	call, err := nested.Parse(h.Get(HeaderCall))
-	return RequestInfo{Call: call}, err
+	return RequestInfo{Name: id, Call: call}, err
 }
 
 // SetCallerHeader does nothing: this dialect does not send the calling service.
--- a/io/proto/header.go
+++ b/io/proto/header.go
@@ -18,6 +18,7 @@
 	HeaderCall     = HeaderPrefix + "Call"
 	HeaderFirst    = HeaderPrefix + "First"
 	HeaderClock    = HeaderPrefix + "Clock"
+	HeaderID       = HeaderPrefix + "Id"
 	HeaderKey      = "Idempotency-Key"
 )
 
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -53,7 +53,7 @@
 	TargetLeft time.Duration
 	// Nested reports that a running request waits for this one.
 	Nested bool
-	// Name is the request name that the caller chose, or empty.
+	// Name is the request ID that the caller chose or the entry assigned.
 	Name     string
 	Key      string
 	First    bool
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -113,6 +113,7 @@
 	r.Header.Set(proto.HeaderVersions, proto.FormatVersions(attempt.Versions))
 	r.Header.Set(proto.HeaderAttempt, proto.FormatAttempt(attempt))
 	r.Header.Set(proto.HeaderClock, e.loop.Stamp())
+	r.Header.Set(proto.HeaderID, attempt.Name)
 	if attempt.Key != "" {
 		r.Header.Set(proto.HeaderPrefix+"Key", attempt.Key)
 	}
--- a/test/input_test.go
+++ b/test/input_test.go
@@ -58,6 +58,7 @@
 	}{
 		{"upgrade", "GET /lines/bad HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n", "not-run", "upgrade", 501},
 		{"connect", "CONNECT 127.0.0.1:1 HTTP/1.1\r\nHost: a\r\n", "not-run", "upgrade", 501},
+		{"long id", "GET /lines/bad HTTP/1.1\r\nHost: a\r\nBulrushlock-Id: " + long[:200] + "\r\n", "not-run", "header", 400},
 		{"old protocol", "GET /lines/bad HTTP/1.0\r\nHost: a\r\n", "not-run", "version", 505},
 		{"ticket", "POST /claims HTTP/1.1\r\nHost: a\r\nBulrushlock-Ticket: a.b.c\r\n", "not-run", "header", 400},
 		{"call", "POST /claims HTTP/1.1\r\nHost: a\r\nBulrushlock-Call: deep\r\n", "not-run", "header", 400},
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -37,3 +38,40 @@
 		c.Assert(a.body == string(want), qt.IsTrue, qt.Commentf("%d bytes", len(a.body)))
 	}
 }
+
+// A request without an id of its caller can be found in the logs by the id in its response,
+// at its entry and at its guard. An id that the caller chose is kept.
+func TestEveryRequestHasID(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warmUp()
+	send := func(id string) *http.Response {
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.instances[0].callers.String()+"/claims/id", http.NoBody)
+		c.Assert(err, qt.IsNil)
+		if id != "" {
+			r.Header.Set("Bulrushlock-Id", id)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+		return resp
+	}
+	assigned := send("").Header.Get("Bulrushlock-Id")
+	c.Assert(assigned, qt.Matches, "[0-9a-f]{16}")
+	c.Check(send("chosen").Header.Get("Bulrushlock-Id"), qt.Equals, "")
+	for _, id := range []string{assigned, "chosen"} {
+		for _, message := range []string{"placed", "admitted"} {
+			waitUntil(c, message+" of "+id+" is logged", func() bool {
+				for _, n := range s.instances {
+					for line := range strings.SplitSeq(n.node.output.String(), "\n") {
+						if strings.Contains(line, `"msg":"`+message+`"`) && strings.Contains(line, `"id":"`+id+`"`) {
+							return true
+						}
+					}
+				}
+				return false
+			})
+		}
+	}
+}
