feat(platform): the reader of the instance list reads only what has changed

Cause: the list was read whole every 0.8 s. A list from a peer or from a stale read is never the base of changes.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -228,6 +228,8 @@
 	MaxHold time.Duration
 	// AllowStale allows a response that is a few seconds stale, which costs the platform less.
 	AllowStale bool
+	// ChangesOnly allows reading only what has changed since After.
+	ChangesOnly bool
 }
 
 // ExchangeVersions exchanges versions with a peer.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -48,6 +48,9 @@
 	// maxStaleReads is the maximum number of reads of a document for which a node that knows no
 	// peers accepts a response that is a few seconds stale.
 	maxStaleReads = 3
+	// maxChangeReads is the number of consecutive reads that request only the changes of a
+	// document. A fault in the changes that it applied lasts no longer.
+	maxChangeReads = 32
 	// announceFanout is the number of peers that are informed of a new version at once.
 	announceFanout = 4
 	// checkFanout is the number of peers that are queried whether a view is current.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -25,6 +25,9 @@
 	// reader reports that this node read the document from the platform and has not given up the
 	// reader role to a peer since.
 	reader bool
+	// changeReads is the number of reads since the last one of the whole document for which only
+	// the changes were requested.
+	changeReads int
 	// requested is the version last requested from a peer, at the time requestedAt.
 	requested   view.Version
 	requestedAt time.Time
@@ -53,10 +56,23 @@
 		f.AllowStale = true
 	case f.After > 0:
 		f.MaxHold = longPollTimeout
+		f.ChangesOnly = r.readsChanges()
 	}
 	return append(out, f)
 }
 
+// readsChanges reports whether the next read requests only the changes, and counts it. The held
+// document must stem from a read of this node that was not stale, and the whole document is read
+// again from time to time.
+func (r *readState) readsChanges() bool {
+	if !r.reader || r.changeReads >= maxChangeReads {
+		r.changeReads = 0
+		return false
+	}
+	r.changeReads++
+	return true
+}
+
 // readIfDue reads a document from the platform if its next read is due. The first node in the
 // reading order reads at rereadAge. The others read only if no node before them seems to have
 // done so.
@@ -102,6 +118,9 @@
 	}
 	switch verdict {
 	case view.Accepted:
+		if e.From.Peer != "" {
+			g.reads[e.Document].changeReads = maxChangeReads
+		}
 		return g.recordAccepted(e, random, out)
 	case view.Known:
 		return g.confirmFromPlatform(e, out)
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -46,6 +46,9 @@
 	// AllowStale allows a document that is some seconds out of date, which is cheaper for the
 	// platform. HTTP ignores it.
 	AllowStale bool
+	// Held is the text of the document with revision After, or empty. A reader may use it to
+	// read only what has changed since. HTTP ignores it.
+	Held string
 }
 
 // Reader reads published documents. Each method fails with an *UnchangedError if there is
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -19,6 +19,7 @@
 
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
+	"bulrushlock/core/node"
 	"bulrushlock/io/health"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/plat"
@@ -158,12 +159,20 @@
 	ctx, cancel := context.WithTimeout(r.context, e.MaxHold+readTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
+	query := plat.Query{After: e.After, MaxHold: e.MaxHold, AllowStale: e.AllowStale}
+	if e.ChangesOnly {
+		r.loop.View(func(n *node.Node) {
+			if text, revision := n.Text(e.Document); revision == e.After {
+				query.Held = text
+			}
+		})
+	}
 	read := r.options.Platform.Rules
 	if e.Document == event.Fleet {
 		read = r.options.Platform.Instances
 	}
 	queriedAt := time.Now()
-	d, err := read(ctx, plat.Query{After: e.After, MaxHold: e.MaxHold, AllowStale: e.AllowStale})
+	d, err := read(ctx, query)
 	now := time.Now()
 	var unchanged *plat.UnchangedError
 	switch {
