feat(core/gossip): a fleet that starts together leaves the reading to a few nodes

Change: a node that knows no peers waits two seconds on average after a stale read; one that knows peers but lacks a document leaves the read to those before it in the reading order, which tell it once they hold one.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -41,13 +41,15 @@
 	readStagger = 200 * time.Millisecond
 	// minRetryDelay is the lower bound of the mean delay before a failed read is retried.
 	minRetryDelay = time.Second
+	// aloneDelay is the mean delay between two stale reads of a node that knows no peers.
+	aloneDelay = 2 * time.Second
 	// minBroadcastInterval is the minimum time between two broadcasts while nothing changes.
 	// It is shorter than readStagger, so that peers learn of a read before they start a
 	// redundant one.
 	minBroadcastInterval = 100 * time.Millisecond
 	// maxStaleReads is the maximum number of reads of a document for which a node that knows no
 	// peers accepts a response that is a few seconds stale.
-	maxStaleReads = 3
+	maxStaleReads = 8
 	// maxChangeReads is the number of consecutive reads that request only the changes of a
 	// document. A fault in the changes that it applied lasts no longer.
 	maxChangeReads = 32
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -17,6 +17,9 @@
 	platformReadPending bool
 	// retryAt is the earliest time at which a failed read is retried.
 	retryAt time.Time
+	// aloneUntil is the time until which a node that knows no peers waits after a stale read. While
+	// a whole fleet starts, its instance list grows within seconds.
+	aloneUntil time.Time
 	// fallbackAt is the time at which the platform is read instead of a peer that announced a newer
 	// version but cannot be queried; zero if no such read is planned.
 	fallbackAt time.Time
@@ -79,7 +82,7 @@
 func (g *Gossip) readIfDue(d event.Document, e event.Tick, out []effect.Effect) []effect.Effect {
 	out = g.fetchFromAlternate(d, e.At, out)
 	r := &g.reads[d]
-	if r.platformReadPending || e.At.Before(r.retryAt) {
+	if r.platformReadPending || e.At.Before(r.retryAt) || len(g.peers) == 0 && e.At.Before(r.aloneUntil) {
 		return out
 	}
 	isFallbackDue := !r.fallbackAt.IsZero() && !e.At.Before(r.fallbackAt)
@@ -99,9 +102,11 @@
 	return min(age, rereadAge+now.Sub(g.started))
 }
 
-// readDueAge returns the age of a document at which this node reads it.
+// readDueAge returns the age of a document at which this node reads it. A node that knows peers
+// leaves the read to those before it also while it holds no document: they inform it once they
+// hold one.
 func (g *Gossip) readDueAge(d event.Document) time.Duration {
-	if g.reads[d].reader || g.version(d).Revision == 0 {
+	if g.reads[d].reader || len(g.peers) == 0 {
 		return rereadAge
 	}
 	return rereadAge + time.Duration(g.position)*readStagger
@@ -112,6 +117,9 @@
 func (g *Gossip) DocumentRead(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
 	g.finishRead(e.Document, e.From)
 	verdict, err := g.offer(e)
+	if e.MayBeStale {
+		g.reads[e.Document].aloneUntil = e.At.Add(jitter(aloneDelay, random))
+	}
 	if err != nil {
 		g.backOff(e, e.Document, e.From, random)
 		return g.skipInvalid(e, g.logInvalid(e, err, out))
