fix(core/entry): guards of a data centre are probed evenly, whatever the order of the list

Cause: an entry took the guards to probe from the instance list, starting at a random place of the whole list, and kept those of its own data centre. The list is in the order of names, so that the instances of a data centre stand in a row, and most starts led to the first three of them: of 150 guards in five data centres the first ones of the own one got 16,388 of 60,000 probes where 2,000 are even (TestGuardsOfDataCentreAreProbedEvenly, failing first). Change: core/stride selects a start and a step by one random number; it also serves the choice of random peers in core/gossip.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -54,11 +54,14 @@
 	policy pick.Policy
 	// freshPolicy selects among guards whose load was just probed. It is used if
 	// ProbeCount is above 0, and policy if no load report is recent enough for it.
-	freshPolicy      pick.Policy
-	rules            *rules.Set
-	peers            map[string]*peer
-	peerOrder        []*peer
-	services         map[string][]*peer
+	freshPolicy pick.Policy
+	rules       *rules.Set
+	peers       map[string]*peer
+	peerOrder   []*peer
+	services    map[string][]*peer
+	// probeOrder holds the peers of each service whose loads are probed: those in the
+	// entry's own data centre, and those in others.
+	probeOrder       map[string][2][]*peer
 	classes          map[route]int
 	requests         map[uint64]*request
 	sequence         uint64
@@ -94,6 +97,7 @@
 		freshPolicy:      pick.NewLeastExpectedTime(),
 		peers:            make(map[string]*peer),
 		services:         make(map[string][]*peer),
+		probeOrder:       make(map[string][2][]*peer),
 		classes:          make(map[route]int),
 		requests:         make(map[uint64]*request),
 		attemptBudgets:   make(map[string]*attemptBudget),
@@ -113,14 +117,31 @@
 		e.retries.SetReserve(n.extraAttemptReserve())
 	}
 	clear(n.services)
+	clear(n.probeOrder)
 	for _, i := range instances {
 		if i.Leaving || s.IsOutOfService(i.Name, i.Centre) {
 			continue
 		}
-		n.services[i.Service] = append(n.services[i.Service], n.peers[i.Name])
+		n.addToService(n.peers[i.Name])
 	}
 }
 
+// addToService adds a peer to those that may get requests for its service.
+func (n *Entry) addToService(p *peer) {
+	service := p.instance.Service
+	n.services[service] = append(n.services[service], p)
+	if p.instance.Name == n.config.Node.Instance {
+		return
+	}
+	distance := 0
+	if p.instance.Centre != n.config.Centre {
+		distance = 1
+	}
+	order := n.probeOrder[service]
+	order[distance] = append(order[distance], p)
+	n.probeOrder[service] = order
+}
+
 // applyRoutes adopts the request classes and budgets of s. It drops the state of classes
 // and services that s no longer names.
 func (n *Entry) applyRoutes(s *rules.Set) {
--- a/core/entry/target.go
+++ b/core/entry/target.go
@@ -6,31 +6,30 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
+	"bulrushlock/core/stride"
 	"bulrushlock/core/waited"
 )
 
 // freshLoadAge is the age up to which a load report makes a new load probe unnecessary.
 const freshLoadAge = 5 * time.Millisecond
 
-// loadProbeTargets returns the guards to probe for their load before req is sent: those of
-// the entry's own data centre first, starting at a random one. The guard of the entry's
-// own instance needs no probe.
+// loadProbeTargets returns the guards to probe for their load before req is sent: random ones
+// of the entry's own data centre first, then of others. All guards of a data centre are
+// equally likely, whatever their order in the instance list. The guard of the entry's own
+// instance needs no probe.
 func (n *Entry) loadProbeTargets(now time.Time, random uint64, req *request) []fleet.Instance {
-	peers := n.services[req.service]
-	if n.config.ProbeCount == 0 || req.isKeyed() || len(peers) < 2 {
+	if n.config.ProbeCount == 0 || req.isKeyed() || len(n.services[req.service]) < 2 {
 		return nil
 	}
 	var targets []fleet.Instance
-	for _, near := range []bool{true, false} {
+	for _, peers := range n.probeOrder[req.service] {
+		order := stride.New(random, len(peers))
 		for i := range peers {
-			p := peers[(random+uint64(i))%uint64(len(peers))]
+			p := peers[order.At(i)]
 			if len(targets) == n.config.ProbeCount {
 				return targets
 			}
-			if req.hasTried(p.instance.Name) {
-				continue
-			}
-			if (p.instance.Centre == n.config.Centre) != near || p.instance.Name == n.config.Node.Instance || p.isLeaving(now) {
+			if req.hasTried(p.instance.Name) || p.isLeaving(now) {
 				continue
 			}
 			if now.Sub(p.reportedAt) > freshLoadAge {
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -8,6 +8,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
+	"bulrushlock/core/stride"
 	"bulrushlock/core/view"
 )
 
@@ -33,30 +34,14 @@
 
 // randomPeers returns up to count distinct random peers.
 func (g *Gossip) randomPeers(random uint64, count int) []fleet.Instance {
-	total := uint64(len(g.peers))
-	if total == 0 {
-		return nil
-	}
-	stride := 1 + (random>>32)%total
-	for hasCommonFactor(stride, total) {
-		stride++
-	}
-	peers := make([]fleet.Instance, 0, count)
-	for i := range min(uint64(count), total) {
-		peers = append(peers, g.peers[(random+i*stride)%total])
+	order := stride.New(random, len(g.peers))
+	var peers []fleet.Instance
+	for i := range min(count, len(g.peers)) {
+		peers = append(peers, g.peers[order.At(i)])
 	}
 	return peers
 }
 
-// hasCommonFactor reports whether a and b have a common factor, in which case a stride of a
-// visits only some of b peers.
-func hasCommonFactor(a, b uint64) bool {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a != 1
-}
-
 // VersionsReceived handles the versions that a peer sent. Newer versions are fetched; equal ones
 // confirm the view. A queried peer that holds no newer rules and does not confirm those of this
 // node counts as a failure of the check.
