fix: a late copy of a response reaches no other caller where ids are repeated

Cause: in the native dialect responses match requests by their order on the connection, so that a second copy that arrives after the next request was sent went to the next caller (TestLateCopyOfResponseReachesNobody, failing first). Change: a backend server gets the id of each request in Bulrushlock-Id, and a response with another id is skipped. Copies that arrive on an idle connection were caught before, with and without ids.

--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -27,6 +27,7 @@
 	"bulrushlock/io/gate"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/pool"
+	"bulrushlock/io/proto"
 	"bulrushlock/io/remote"
 	"bulrushlock/io/wire"
 )
@@ -52,7 +53,9 @@
 	n := node.New(node.Config{Instance: name, Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewLoadAware())
 	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Execute: func(effect.Effect) {}})
 	c.Cleanup(l.Stop)
-	transport := pool.New(&net.Dialer{}, pool.Options{MaxIdle: 8, IdleTimeout: time.Minute})
+	transport := pool.New(&net.Dialer{}, pool.Options{MaxIdle: 8, IdleTimeout: time.Minute, Match: func(r *http.Request, a *http.Response) bool {
+		return proto.Plain{}.Matches(r.Header, a.Header)
+	}})
 	c.Cleanup(transport.Close)
 	writer := egress.New(shaper.New(0))
 	g := gate.New(l, gate.Options{Node: self, Server: server, Transport: transport, Egress: writer})
--- a/io/proto/dialect.go
+++ b/io/proto/dialect.go
@@ -39,6 +39,8 @@
 
 // RequestLimits holds the limits that a backend server must observe for a request.
 type RequestLimits struct {
+	// ID is the request ID.
+	ID   string
 	Call nested.Limits
 	// TimeLeft is the time left until the caller's deadline.
 	TimeLeft time.Duration
@@ -79,17 +81,21 @@
 // SetCallerHeader does nothing: this dialect does not send the calling service.
 func (Plain) SetCallerHeader(http.Header, string) {}
 
-// SetLimitHeaders sets the call header.
+// SetLimitHeaders sets the call header and the request ID.
 func (Plain) SetLimitHeaders(h http.Header, limits RequestLimits) {
 	h.Set(HeaderCall, limits.Call.NoRetry().String())
+	h.Set(HeaderID, limits.ID)
 }
 
 // ParseResponse returns the zero value: this dialect relies on the HTTP status alone.
 func (Plain) ParseResponse(int, http.Header) ResponseInfo { return ResponseInfo{} }
 
-// Matches always returns true: responses match requests by their order on the
-// connection.
-func (Plain) Matches(_, _ http.Header) bool { return true }
+// Matches compares the request IDs of request and response. A response without one, as
+// most backend servers send it, matches the request by its order on the connection.
+func (Plain) Matches(request, response http.Header) bool {
+	id := response.Get(HeaderID)
+	return id == "" || id == request.Get(HeaderID)
+}
 
 // FormatRetryAfter formats a delay in seconds, rounded up.
 func (Plain) FormatRetryAfter(after time.Duration) string {
