fix: an instance list is not taken for confirmed by the versions of an attempt

Found on reading. Cause: the header of versions has no age of the instance list, and it was parsed as age zero, so that two nodes with the same stale list and different rules confirmed it to each other. Now the age is unknown, which confirms nothing. Also found on reading, each with a test: a word other than yes and no in the header of an attempt is refused; a load from a guard that was not asked, or a second one, no longer ends a round of load probes early; a round without guards does not wait; `status` and the other commands report a response above 16 MiB in place of cutting it.

--- a/io/dgram/dgram.go
+++ b/io/dgram/dgram.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,9 +57,24 @@
 
 // loadProbe collects the responses to one round of load probes.
 type loadProbe struct {
-	loads    []event.LoadReported
-	expected int
-	done     chan struct{}
+	loads []event.LoadReported
+	// pending are the names of the guards that have not responded.
+	pending []string
+	done    chan struct{}
+}
+
+// received records the response of a guard. It ignores a guard that was not asked and a second
+// response.
+func (l *loadProbe) received(e event.LoadReported) {
+	i := slices.Index(l.pending, e.Guard.Instance)
+	if i < 0 {
+		return
+	}
+	l.loads = append(l.loads, e)
+	l.pending = slices.Delete(l.pending, i, i+1)
+	if len(l.pending) == 0 {
+		close(l.done)
+	}
 }
 
 // New returns a Transport and starts to process the datagrams that arrive on o.Conn.
@@ -90,7 +106,13 @@
 // ProbeLoads queries the guards of peers for their loads and returns those that arrive within
 // a few milliseconds and before ctx ends.
 func (tr *Transport) ProbeLoads(ctx context.Context, peers []fleet.Instance) []event.LoadReported {
-	probe := &loadProbe{expected: len(peers), done: make(chan struct{})}
+	if len(peers) == 0 {
+		return nil
+	}
+	probe := &loadProbe{done: make(chan struct{})}
+	for _, p := range peers {
+		probe.pending = append(probe.pending, p.Name)
+	}
 	tr.mutex.Lock()
 	tr.next++
 	number := tr.next
@@ -169,12 +191,7 @@
 func (tr *Transport) loadReceived(m message) {
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
-	probe, ok := tr.probes[m.Number]
-	if !ok || len(probe.loads) == probe.expected {
-		return
-	}
-	probe.loads = append(probe.loads, event.LoadReported{At: time.Now(), Guard: m.From, Load: m.Load})
-	if len(probe.loads) == probe.expected {
-		close(probe.done)
+	if probe, ok := tr.probes[m.Number]; ok {
+		probe.received(event.LoadReported{At: time.Now(), Guard: m.From, Load: m.Load})
 	}
 }
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -151,3 +152,28 @@
 		}
 	})
 }
+
+func TestProbeWaitsForEachGuardThatWasAsked(t *testing.T) {
+	c := qt.New(t)
+	p := &loadProbe{pending: []string{"ledger-1", "ledger-2"}, done: make(chan struct{})}
+	for _, name := range []string{"ledger-1", "ledger-1", "ledger-9"} {
+		p.received(event.LoadReported{Guard: ticket.NodeID{Instance: name}})
+	}
+	c.Check(p.loads, qt.HasLen, 1)
+	select {
+	case <-p.done:
+		c.Fatal("the probe ended before the second guard has responded")
+	default:
+	}
+	p.received(event.LoadReported{Guard: ticket.NodeID{Instance: "ledger-2"}})
+	<-p.done
+	c.Check(p.loads, qt.HasLen, 2)
+}
+
+func TestProbeOfNoGuardDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		qt.Check(t, (&Transport{}).ProbeLoads(t.Context(), nil), qt.HasLen, 0)
+		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
--- a/io/fetch/fetch.go
+++ b/io/fetch/fetch.go
@@ -29,6 +29,8 @@
 const (
 	// maxResponseSize is the largest response body in bytes that is read.
 	maxResponseSize = 16 << 20
+	// maxHeaderSize is the largest response header in bytes that is read.
+	maxHeaderSize = 32 << 10
 	// maxErrorText is the maximum number of bytes of an error response that
 	// ResponseError.Problem contains.
 	maxErrorText = 200
@@ -77,7 +79,7 @@
 
 // New returns a Client whose requests have the given timeout.
 func New(timeout time.Duration) *Client {
-	return &Client{client: &http.Client{Timeout: timeout, Transport: &http.Transport{}}}
+	return &Client{client: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderSize}}}
 }
 
 // All fetches and decodes the JSON at path from every node in parallel. The
@@ -118,10 +120,13 @@
 		return "", &UnreachableError{Node: node, Cause: unwrapURLError(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize+1))
 	if err != nil {
 		return "", &UnreachableError{Node: node, Cause: unwrapURLError(err)}
 	}
+	if len(text) > maxResponseSize {
+		return "", &ResponseError{Node: node, Status: response.StatusCode, Problem: fmt.Sprintf("response is larger than %d bytes", maxResponseSize)}
+	}
 	if response.StatusCode != http.StatusOK {
 		problem := strings.TrimSpace(string(text[:min(len(text), maxErrorText)]))
 		return "", &ResponseError{Node: node, Status: response.StatusCode, Problem: problem}
--- a/io/fetch/fetch_test.go
+++ b/io/fetch/fetch_test.go
@@ -41,3 +41,18 @@
 	c.Assert(errors.As(results[3].Err, &gone), qt.IsTrue)
 	c.Check(gone.Node, qt.Equals, hangs)
 }
+
+func TestTooLargeResponseIsAnError(t *testing.T) {
+	c := qt.New(t)
+	part := make([]byte, 1<<20)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range maxResponseSize/len(part) + 1 {
+			_, _ = w.Write(part)
+		}
+	}))
+	defer s.Close()
+	_, err := New(10*time.Second).Text(t.Context(), netip.MustParseAddrPort(s.Listener.Addr().String()), "/")
+	var response *ResponseError
+	c.Assert(errors.As(err, &response), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(response.Problem, qt.Contains, "larger than")
+}
--- a/io/proto/text.go
+++ b/io/proto/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -33,8 +34,12 @@
 	return string(b)
 }
 
-// ParseVersions parses the output of FormatVersions. It returns a *HeaderError if
-// the text is invalid.
+// unknownAge is the age of an instance list whose age the sender does not tell. Such a list
+// confirms nothing.
+const unknownAge = time.Duration(math.MaxInt64)
+
+// ParseVersions parses the output of FormatVersions; FleetAge is unknownAge. It returns a
+// *HeaderError if the text is invalid.
 func ParseVersions(text string) (event.Versions, error) {
 	fail := &HeaderError{Name: HeaderVersions, Text: text}
 	parts := strings.Split(text, ".")
@@ -57,6 +62,8 @@
 		Rules: view.Version{Revision: numbers[0], Digest: numbers[1]},
 		Fleet: view.Version{Revision: numbers[2], Digest: numbers[3]},
 		Age:   time.Duration(age) * time.Millisecond,
+
+		FleetAge: unknownAge,
 	}, nil
 }
 
@@ -122,8 +129,14 @@
 	attempt.Priority, attempt.Class = int(numbers[0]), int(numbers[1])
 	attempt.HeaderTimeout = time.Duration(numbers[2]) * time.Microsecond
 	attempt.TargetLeft = time.Duration(numbers[3]) * time.Microsecond
-	attempt.Idempotent = parts[0] == "yes"
-	attempt.First = parts[3] == "yes"
-	attempt.Nested = parts[6] == "yes"
+	for _, f := range [...]struct {
+		text  string
+		field *bool
+	}{{parts[0], &attempt.Idempotent}, {parts[3], &attempt.First}, {parts[6], &attempt.Nested}} {
+		if f.text != yesNo(true) && f.text != yesNo(false) {
+			return fail
+		}
+		*f.field = f.text == yesNo(true)
+	}
 	return nil
 }
--- /dev/null
+++ b/io/proto/text_test.go
@@ -0,0 +1,35 @@
+package proto
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/core/event"
+	"bulrushlock/core/view"
+)
+
+// The age of the instance list is not sent. A receiver must not take a list that it shares
+// with the sender for one that was just confirmed.
+func TestParsedVersionsConfirmNoList(t *testing.T) {
+	c := qt.New(t)
+	sent := event.Versions{Rules: view.Version{Revision: 3, Digest: 4}, Fleet: view.Version{Revision: 5, Digest: 6}, Age: 1200 * time.Millisecond, FleetAge: time.Second}
+	got, err := ParseVersions(FormatVersions(sent))
+	c.Assert(err, qt.IsNil)
+	c.Check(got.Rules, qt.Equals, sent.Rules)
+	c.Check(got.Fleet, qt.Equals, sent.Fleet)
+	c.Check(got.Age, qt.Equals, sent.Age)
+	c.Check(got.FleetAge > 24*time.Hour, qt.IsTrue)
+}
+
+func TestParseAttemptRejectsOtherWords(t *testing.T) {
+	for _, text := range []string{"", "yes", "yep/1/2/no/3/4/no", "yes/1/2/NO/3/4/no", "yes/1/2/no/3/4/", "yes/x/2/no/3/4/no"} {
+		var header *HeaderError
+		qt.Check(t, errors.As(ParseAttempt(text, &Attempt{}), &header), qt.IsTrue, qt.Commentf("%q", text))
+	}
+	var a Attempt
+	qt.Check(t, ParseAttempt("yes/1/2/no/3/4/yes", &a), qt.IsNil)
+	qt.Check(t, a.Idempotent && !a.First && a.Nested, qt.IsTrue)
+}
