--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -1,6 +1,7 @@
 // Package soak tests a deployment of real processes on one machine under faults that it
 // injects from outside the processes: signals, restarts, data centres taken out of
-// service (evacuations), slow backend servers and broken connections. Faults may overlap.
+// service (evacuations), backend servers that are slow or send endless bytes, and broken
+// connections. Faults may overlap.
 // It checks the invariants of the system against what callers and backend servers
 // observe. The seed determines the schedule of faults, so each run with it injects the
 // same faults at the same times. The package kills only processes that it started, by
@@ -205,6 +206,10 @@
 		s.deployment.setEvacuated(centre, true)
 		time.Sleep(f.length)
 		s.deployment.setEvacuated(centre, false)
+	case floodServer:
+		s.setServerFault(n, "flood&kind="+f.flood)
+		time.Sleep(f.length)
+		s.setServerFault(n, "none")
 	case kindCount:
 	}
 	if err != nil {
