fix(core/gossip): a starting fleet does not read in step

The delays were drawn from the time of the event, which is the same on nodes that start together; and a node that is not yet listed took a place right behind a list that has few entries at first. Change: such draws depend on the incarnation too; an unlisted node takes place 20 or later.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -39,6 +39,10 @@
 	// document only if none of the nodes before it seems to have read it. It covers the read and
 	// the broadcast of its result.
 	readStagger = 200 * time.Millisecond
+	// minUnlistedPosition is the lowest reading position of an instance that is not listed. While a
+	// whole fleet starts, the list has few entries at first, and the listed nodes inform the others
+	// once these are listed.
+	minUnlistedPosition = 20
 	// minRetryDelay is the lower bound of the mean delay before a failed read is retried.
 	minRetryDelay = time.Second
 	// aloneDelay is the mean delay between two stale reads of a node that knows no peers.
@@ -215,7 +219,7 @@
 
 // readingPosition returns the position of an instance in the reading order, the order in which
 // nodes are to read the platform. All nodes compute the same order, and hashing the names favours
-// no data centre. An unlisted instance comes last.
+// no data centre. An unlisted instance comes last, at minUnlistedPosition or later.
 func readingPosition(instance string, listed []fleet.Instance) int {
 	own := xxhash.Sum64String(instance)
 	position, found := 0, false
@@ -228,7 +232,7 @@
 		}
 	}
 	if !found {
-		return len(listed)
+		return max(len(listed), minUnlistedPosition)
 	}
 	return position
 }
--- a/core/gossip/start_test.go
+++ b/core/gossip/start_test.go
@@ -69,7 +69,9 @@
 	}
 	f.random.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
 	for n := range registrationSteps + 1 {
-		text, err := fleet.Format(all[:len(all)*n/registrationSteps])
+		// Few backend servers register at first.
+		listed := len(all) * n * n * n / (registrationSteps * registrationSteps * registrationSteps)
+		text, err := fleet.Format(all[:listed])
 		c.Assert(err, qt.IsNil)
 		f.lists = append(f.lists, text)
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -159,12 +159,13 @@
 	n.drainStart = at
 	out = append(out, effect.LogEvent{Kind: effect.KindPaused})
 	out = n.guard.MarkCold("the node was paused", out)
-	return n.tick(event.Tick{At: at, Random: randomOf(e)}, true, out)
+	return n.tick(event.Tick{At: at, Random: n.randomOf(e)}, true, out)
 }
 
-// randomOf returns the random value of e. For an event without one it uses the time of the
-// event.
-func randomOf(e event.Event) uint64 {
+// randomOf returns the random value of e. For an event without one it derives a value from the
+// time of the event and the incarnation of this node, as nodes that start together see the same
+// events at nearly the same time.
+func (n *Node) randomOf(e event.Event) uint64 {
 	switch e := e.(type) {
 	case event.Tick:
 		return e.Random
@@ -173,7 +174,16 @@
 	case event.AttemptEnded:
 		return e.Random
 	}
-	return uint64(e.Time().UnixNano())
+	return mix(uint64(e.Time().UnixNano()) + n.config.Incarnation)
+}
+
+// mix returns a hash of x, the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // stepEntry handles an event for the entry.
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -15,7 +15,7 @@
 // stepGossip handles an event for the views.
 func (n *Node) stepGossip(e event.Event, out []effect.Effect) []effect.Effect {
 	var change gossip.Change
-	random := randomOf(e)
+	random := n.randomOf(e)
 	switch e := e.(type) {
 	case event.DocumentRead:
 		change, out = n.gossip.DocumentRead(e, random, out)
