--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -73,8 +73,11 @@
 	for p.Take(now) {
 	}
 	c.Check(p.HasSpareCapacity(now), qt.IsFalse)
+	before := time.Duration(0)
 	for ahead := range 3 {
 		w := p.Wait(now, ahead)
+		c.Check(w > before, qt.IsTrue, qt.Commentf("%v with %d ahead, %v with one less", w, ahead, before))
+		before = w
 		c.Check(w > 0 && w <= time.Duration(ahead+1)*110*time.Millisecond, qt.IsTrue, qt.Commentf("%v", w))
 	}
 	p.MarkWarm()
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -109,6 +109,34 @@
 	})
 }
 
+// LeastExpectedTime selects only among candidates with a recent load report.
+func TestLeastExpectedTimeNeedsRecentReport(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		candidates := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) pick.Candidate {
+			return pick.Candidate{
+				Limit:      rapid.IntRange(0, 10).Draw(r, "limit"),
+				InFlight:   rapid.IntRange(0, 20).Draw(r, "in flight"),
+				ReportedAt: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(r, "reported")) * time.Millisecond),
+			}
+		}), 0, 20).Draw(r, "candidates")
+		recent := 0
+		for _, k := range candidates {
+			if now.Sub(k.ReportedAt) <= 60*time.Millisecond {
+				recent++
+			}
+		}
+		p := pick.NewLeastExpectedTime()
+		random := rapid.Uint64().Draw(r, "random")
+		i, ok := p.Pick(now, random, candidates)
+		if ok != (recent > 0) || ok && now.Sub(candidates[i].ReportedAt) > 60*time.Millisecond {
+			r.Fatalf("picked %d, %v; %d recent", i, ok, recent)
+		}
+		if n := testing.AllocsPerRun(10, func() { p.Pick(now, random, candidates) }); n != 0 {
+			r.Fatalf("%v allocations", n)
+		}
+	})
+}
+
 func TestPickDoesNotAllocate(t *testing.T) {
 	candidates := make([]pick.Candidate, 13)
 	for name, p := range policies() {
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -109,7 +109,7 @@
 func TestDatagramRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(0, 1<<20)
-		m := message{Kind: kind(rapid.IntRange(1, 3).Draw(t, "kind")), Number: rapid.Uint64().Draw(t, "number")}
+		m := message{Kind: kind(rapid.IntRange(int(kindLoadRequest), int(kindRelayVersions)).Draw(t, "kind")), Number: rapid.Uint64().Draw(t, "number")}
 		if m.Kind != kindLoadRequest {
 			m.From = ticket.NodeID{Instance: rapid.StringMatching(`[a-z0-9-]{1,32}`).Draw(t, "name"), Incarnation: rapid.Uint64().Draw(t, "life")}
 		}
@@ -120,9 +120,11 @@
 				Cold: rapid.Bool().Draw(t, "cold"), Ill: rapid.Bool().Draw(t, "ill"), Leaving: rapid.Bool().Draw(t, "leaving"), Blank: rapid.Bool().Draw(t, "blank"),
 			}
 		}
-		if m.Kind == kindVersions {
+		if m.Kind == kindVersions || m.Kind == kindRelayVersions {
 			m.Versions.Rules = view.Version{Revision: rapid.Uint64().Draw(t, "rules"), Digest: rapid.Uint64().Draw(t, "digest")}
+			m.Versions.Fleet = view.Version{Revision: rapid.Uint64().Draw(t, "fleet"), Digest: rapid.Uint64().Draw(t, "fleet digest")}
 			m.Versions.Age = time.Duration(count.Draw(t, "age"))
+			m.Versions.FleetAge = time.Duration(count.Draw(t, "fleet age"))
 		}
 		b := m.append(nil)
 		got, err := parse(b)
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -78,6 +78,16 @@
 func TestLoopTicksUntilItIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
+		n := node.New(node.Config{Instance: "filing-1", Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewLoadAware())
+		executed := 0
+		stopped := New(n, Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Execute: func(effect.Effect) { executed++ }})
+		time.Sleep(5 * time.Second)
+		stopped.Stop()
+		before := executed
+		c.Check(before > 0, qt.IsTrue)
+		time.Sleep(5 * time.Second)
+		c.Check(executed, qt.Equals, before)
+
 		l, carried := newLoop(c, &strings.Builder{})
 		time.Sleep(5 * time.Second)
 		healthChecks := 0
