--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -81,7 +81,7 @@
 	overdue := time.AfterFunc(time.Until(end), a.cancel)
 	c := http.NewResponseController(cr.writer)
 	if err := c.SetWriteDeadline(end.Add(responseGrace)); err != nil {
-		// The writers of tests have no deadlines.
+		// The writer of an embedded client has no deadline.
 		return func() { overdue.Stop() }
 	}
 	return func() {
