fix(core/entry): an unresponsive guard holds no caller past the time of the route

Cause: a claim whose time is over asks its guard whether it ran, and an RPC to a guard that is gone takes up to 0.4 s, once more if it fails earlier. The decision lines of the nodes show the deadline met, since the attempt ends in time. Change: a query has 0.2 s from the deadline on.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -152,6 +152,8 @@
 	Void bool
 	// Delay is the delay before the query is sent.
 	Delay time.Duration
+	// Timeout limits the time until the response, from the end of Delay; 0 means no limit.
+	Timeout time.Duration
 }
 
 // FetchResponse fetches the stored response of an attempt from its guard and passes it to the caller.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -251,14 +251,28 @@
 }
 
 // queryOutcome queries, after the delay wait, the guard of the last attempt of req for its
-// outcome. Unless the caller asked for the outcome, the query also voids the attempt.
+// outcome. Unless the caller asked for the outcome, the query also voids the attempt. An
+// unresponsive guard does not delay the response to the caller past queryGrace after the
+// deadline.
 func (n *Entry) queryOutcome(now time.Time, req *request, wait time.Duration, out []effect.Effect) []effect.Effect {
 	p, ok := n.peers[req.last.Guard.Instance]
 	if !ok {
 		return n.reply(now, req, effect.Unknown, effect.ReasonLost, out)
 	}
+	timeout := req.deadline.Add(queryGrace).Sub(now) - wait
+	if timeout <= 0 {
+		return n.reply(now, req, effect.Unknown, effect.ReasonDeadline, out)
+	}
 	req.queries++
-	return append(out, effect.QueryOutcome{ID: req.id, Ticket: *req.last, Peer: p.instance, Key: req.key, Void: !req.isOutcomeQuery, Delay: wait})
+	return append(out, effect.QueryOutcome{
+		ID:      req.id,
+		Ticket:  *req.last,
+		Peer:    p.instance,
+		Key:     req.key,
+		Void:    !req.isOutcomeQuery,
+		Delay:   wait,
+		Timeout: timeout,
+	})
 }
 
 // cancelAll cancels the attempts of req that are still in progress.
--- a/core/entry/response.go
+++ b/core/entry/response.go
@@ -12,9 +12,9 @@
 	maxQueries = 4
 	// queryInterval is the time between two outcome queries for one attempt.
 	queryInterval = 50 * time.Millisecond
-	// queryGrace is the time after the deadline during which the entry still queries the
-	// outcome of an attempt.
-	queryGrace = 250 * time.Millisecond
+	// queryGrace is the time after the deadline within which a guard must respond to an
+	// outcome query. It covers several round trips.
+	queryGrace = 200 * time.Millisecond
 	// maxIncarnationRetries is the number of times that a request is resent to a guard
 	// because the guard has a new incarnation.
 	maxIncarnationRetries = 2
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -144,12 +144,17 @@
 
 // QueryOutcome queries the guard of an attempt for its outcome and for its stored response, if any.
 // If e.Void is set, the guard voids an attempt that has not run. QueryOutcome returns event.Broken
-// if the guard does not respond.
+// if the guard does not respond in time.
 func (ep *Endpoint) QueryOutcome(ctx context.Context, e effect.QueryOutcome) (event.Verdict, *event.StoredResponse) {
 	q := OutcomeRequest{Ticket: e.Ticket, Key: e.Key, Void: e.Void}
 	if e.Ticket.Guard.Instance == ep.self.Instance {
 		return ep.queryLocalGuard(q)
 	}
+	if e.Timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, e.Timeout)
+		defer cancel()
+		ctx = limited
+	}
 	q.Stamp = ep.loop.Stamp()
 	var response OutcomeResponse
 	if err := ep.call(ctx, e.Peer.ControlAddr, "Ask", q, &response); err != nil {
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -1,11 +1,14 @@
 package wire
 
 import (
+	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -105,3 +108,24 @@
 	var panicked *PanicError
 	c.Check(errors.As(call(), &panicked), qt.IsTrue)
 }
+
+func TestOutcomeQueryEndsAtItsTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		self := ticket.NodeID{Instance: "filing-1", Incarnation: 1}
+		n := node.New(node.Config{Instance: self.Instance, Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewLoadAware())
+		l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Execute: func(effect.Effect) {}})
+		defer l.Stop()
+		// The peer reads everything and responds to nothing.
+		w := New(l, self, netip.AddrPort{}, func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return near, nil
+		})
+		began := time.Now()
+		q := effect.QueryOutcome{Ticket: ticket.Ticket{Guard: ticket.NodeID{Instance: "filing-2"}}, Timeout: 70 * time.Millisecond}
+		verdict, _ := w.QueryOutcome(t.Context(), q)
+		c.Check(verdict, qt.Equals, event.Broken)
+		c.Check(time.Since(began), qt.Equals, q.Timeout)
+	})
+}
