--- a/core/gossip/start_test.go
+++ b/core/gossip/start_test.go
@@ -29,9 +29,8 @@
 	staleCost = 0.1
 )
 
-// fleetStart is the start of a whole fleet on a platform that holds nothing yet.
+// fleetStart is a fleet that starts on a platform that holds nothing yet.
 type fleetStart struct {
-	c     *qt.C
 	began time.Time
 	now   time.Time
 	nodes []*gossip.Gossip
@@ -41,9 +40,12 @@
 	lists    []string
 	random   *rand.Rand
 	cost     float64
-	// down makes all reads fail.
-	down bool
-	next []func()
+	// refused reports the nodes whose reads fail, and gone those that do nothing and get nothing;
+	// nil means none.
+	refused, gone func(node int) bool
+	// storm are the times at which further rules are published.
+	storm []time.Time
+	next  []func()
 	// later are responses that the platform holds.
 	later []heldResponse
 }
@@ -56,7 +58,7 @@
 
 // newFleetStart returns the start of count nodes within 0.3 seconds.
 func newFleetStart(c *qt.C, count int) *fleetStart {
-	f := &fleetStart{c: c, began: time.Unix(1000, 0), index: make(map[string]int), random: rand.New(rand.NewPCG(1, uint64(count)))}
+	f := &fleetStart{began: time.Unix(1000, 0), index: make(map[string]int), random: rand.New(rand.NewPCG(1, uint64(count)))}
 	f.now = f.began
 	var all []fleet.Instance
 	for i := range count {
@@ -85,7 +87,13 @@
 		if at.Before(f.began.Add(rulesDelay)) {
 			return "", 0
 		}
-		return ruleText, 1
+		revision := uint64(1)
+		for _, t := range f.storm {
+			if !at.Before(t) {
+				revision++
+			}
+		}
+		return ruleText + fmt.Sprintf("# revision %d\n", revision), revision
 	}
 	n := min(max(int(at.Sub(f.began)/registrationStep), 0), registrationSteps)
 	return f.lists[n], uint64(n + 1)
@@ -104,7 +112,8 @@
 	deliver := func() {
 		text, revision := f.document(e.Document, at)
 		switch {
-		case f.down || revision == 0:
+		case f.isGone(node):
+		case f.refused != nil && f.refused(node) || revision == 0:
 			g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document}, f.random.Uint64())
 		case revision == e.After && e.Document == event.Rules && e.MaxHold > 0:
 			_, out := g.DocumentUnchanged(event.DocumentUnchanged{At: f.now, QueriedAt: f.now, Document: e.Document, Revision: revision}, nil)
@@ -133,6 +142,10 @@
 			}
 			peer := f.index[e.Peer.Name]
 			f.next = append(f.next, func() {
+				if f.isGone(peer) {
+					g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64())
+					return
+				}
 				text, revision := f.nodes[peer].Text(e.Document)
 				_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Revision: revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 				f.run(node, out)
@@ -152,7 +165,7 @@
 // tell delivers the versions of one node to another at the next tick, if that has started.
 func (f *fleetStart) tell(from, to int, e event.VersionsReceived) {
 	f.next = append(f.next, func() {
-		if f.now.Before(f.startsAt[to]) {
+		if f.now.Before(f.startsAt[to]) || f.isGone(to) {
 			return
 		}
 		e.At, e.Peer, e.Control = f.now, fmt.Sprintf("i%d", from), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(from / 200), byte(from % 200)}), 1)
@@ -181,7 +194,7 @@
 		for i, g := range f.nodes {
 			started := f.now.Sub(f.startsAt[i])
 			switch {
-			case started < 0:
+			case started < 0 || f.isGone(i):
 			case started < startTick:
 				f.run(i, g.Start(f.now, nil))
 			default:
@@ -192,18 +205,33 @@
 	}
 }
 
+// isGone reports whether a node does nothing.
+func (f *fleetStart) isGone(node int) bool { return f.gone != nil && f.gone(node) }
+
 // holders returns the number of nodes that hold the newest documents.
 func (f *fleetStart) holders() int {
 	count := 0
-	for _, g := range f.nodes {
-		_, rules := g.Text(event.Rules)
-		if text, _ := g.Text(event.Fleet); rules == 1 && text == f.lists[registrationSteps] {
+	want, _ := f.document(event.Rules, f.now)
+	for i, g := range f.nodes {
+		rules, _ := g.Text(event.Rules)
+		if text, _ := g.Text(event.Fleet); !f.isGone(i) && rules == want && text == f.lists[registrationSteps] {
 			count++
 		}
 	}
 	return count
 }
 
+// oldest returns the highest age of a document at a node.
+func (f *fleetStart) oldest() time.Duration {
+	oldest := time.Duration(0)
+	for i, g := range f.nodes {
+		if !f.isGone(i) {
+			oldest = max(oldest, g.RulesAge(f.now), g.FleetAge(f.now))
+		}
+	}
+	return oldest
+}
+
 // A fleet that starts with nothing, while backend servers register and before the rules are
 // published, must neither ask the platform much nor be slow to hold the documents.
 func TestFleetStartNeedsFewCalls(t *testing.T) {
@@ -289,3 +317,80 @@
 	deliver(event.DocumentRead{From: event.DocumentSource{Peer: "b"}})
 	c.Check(changesOnly(), qt.IsFalse)
 }
+
+// fleetSizes are the sizes of fleets after their start that faults are injected into.
+var fleetSizes = []int{60, 300}
+
+// startedFleet returns a fleet whose nodes hold all documents.
+func startedFleet(c *qt.C, count int) *fleetStart {
+	f := newFleetStart(c, count)
+	f.advance(rulesDelay + 5*time.Second)
+	c.Assert(f.holders(), qt.Equals, count)
+	return f
+}
+
+// advanceAndCheckAge runs the fleet and checks at each moment that no view gets older than most.
+func (f *fleetStart) advanceAndCheckAge(c *qt.C, d, most time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.advance(startTick)
+		c.Assert(f.oldest() <= most, qt.IsTrue, qt.Commentf("%v at %v", f.oldest(), f.now.Sub(f.began)))
+	}
+}
+
+// The platform refuses a third of the nodes. The others keep the views of all nodes young, at
+// the same cost.
+func TestThirdOfFleetIsRefused(t *testing.T) {
+	for _, count := range fleetSizes {
+		c := qt.New(t)
+		f := startedFleet(c, count)
+		before, began := f.cost, f.now
+		f.refused = func(node int) bool { return node%3 == 0 }
+		f.advanceAndCheckAge(c, 10*time.Second, 3*time.Second)
+		// Two readers may overlap, and those that are refused try again rarely.
+		rate := (f.cost - before) / f.now.Sub(began).Seconds()
+		c.Check(rate <= 8, qt.IsTrue, qt.Commentf("%d nodes: %.1f calls a second", count, rate))
+	}
+}
+
+// Twenty configurations in quick succession: all nodes hold the last one within the three
+// seconds that an operator may expect, and no node reads each of them from the platform.
+func TestStormOfConfigurations(t *testing.T) {
+	for _, count := range fleetSizes {
+		c := qt.New(t)
+		f := startedFleet(c, count)
+		before := f.cost
+		const versions, interval = 20, 150 * time.Millisecond
+		for i := range versions {
+			f.storm = append(f.storm, f.now.Add(time.Duration(i)*interval))
+		}
+		f.advance(versions * interval)
+		f.advance(3 * time.Second)
+		c.Check(f.holders(), qt.Equals, count)
+		c.Check(f.cost-before <= 80, qt.IsTrue, qt.Commentf("%d nodes: %.1f calls", count, f.cost-before))
+	}
+}
+
+// A fifth of the fleet loses power, and returns at once with nothing while all is listed as
+// before.
+func TestDataCentreReturns(t *testing.T) {
+	for _, count := range fleetSizes {
+		c := qt.New(t)
+		f := startedFleet(c, count)
+		isLost := func(node int) bool { return node%5 == 2 }
+		f.gone = isLost
+		f.advanceAndCheckAge(c, 4*time.Second, 4*time.Second)
+		f.gone = nil
+		for i := range f.nodes {
+			if isLost(i) {
+				f.nodes[i] = gossip.New(fmt.Sprintf("i%d", i), "north")
+				f.startsAt[i] = f.now
+			}
+		}
+		before := f.cost
+		f.advance(2 * time.Second)
+		c.Check(f.holders(), qt.Equals, count)
+		// Each node that returns reads two documents stale; some may read again in their turn.
+		most := 0.2*float64(count/5) + 5*2.5
+		c.Check(f.cost-before <= most, qt.IsTrue, qt.Commentf("%d nodes: %.1f calls of at most %.1f", count, f.cost-before, most))
+	}
+}
