--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -53,13 +55,17 @@
 	if err != nil {
 		return &failedError{cause: err}
 	}
+	// The processes of a run have groups of their own, so that a signal from a terminal reaches
+	// this process only, which must end them.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer stop()
 	began := time.Now()
 	for i := 0; f.fresh > 0 && time.Since(began) < f.fresh || f.fresh == 0 && i < f.runs; i++ {
 		seed := f.seed + uint64(i)
 		if f.fresh > 0 {
 			seed = rand.Uint64N(1 << 32)
 		}
-		r, err := soak.New(soak.Options{Program: program, Seed: seed, Nodes: f.nodes, Duration: f.time, Out: s.out}).Run(context.Background())
+		r, err := soak.New(soak.Options{Program: program, Seed: seed, Nodes: f.nodes, Duration: f.time, Out: s.out}).Run(ctx)
 		if err != nil {
 			return &failedError{cause: err}
 		}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -106,7 +106,7 @@
 func New(o Options) *Soak { return &Soak{options: o, rulesRevisions: make(map[string]uint64)} }
 
 // Run runs the schedule of the seed. It returns a *StartError if the deployment does
-// not start. It keeps the logs of all processes if an invariant was violated.
+// not start, and the error of ctx if that is done before the end. It keeps the logs of all processes if an invariant was violated.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
@@ -131,7 +131,9 @@
 	if err := s.deployment.waitReady(startCtx); err != nil {
 		return Report{}, err
 	}
-	s.runSchedule(ctx)
+	if err := s.runSchedule(ctx); err != nil {
+		return Report{}, err
+	}
 	if s.checkServers() {
 		s.check()
 	}
@@ -139,9 +141,11 @@
 }
 
 // runSchedule sends requests while it injects the faults of the schedule, and then
-// through the recovery and the measurement after it.
-func (s *Soak) runSchedule(ctx context.Context) {
+// through the recovery and the measurement after it. It returns the error of ctx if that
+// is done before.
+func (s *Soak) runSchedule(ctx context.Context) error {
 	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var all sync.WaitGroup
 	for i, n := range s.deployment.instances {
 		for k := range callersPerNode {
@@ -155,16 +159,24 @@
 		select {
 		case <-time.After(time.Until(began.Add(f.at))):
 		case <-ctx.Done():
+			cancel()
+			all.Wait()
+			faults.Wait()
+			return ctx.Err()
 		}
 		_, _ = fmt.Fprintln(s.options.Out, f)
 		faults.Go(func() { s.inject(f) })
 	}
 	faults.Wait()
-	time.Sleep(recoveryTime)
-	s.setRecovered()
-	time.Sleep(recoveryTime)
-	cancel()
+	for _, next := range []func(){s.setRecovered, cancel} {
+		select {
+		case <-time.After(recoveryTime):
+		case <-ctx.Done():
+		}
+		next()
+	}
 	all.Wait()
+	return ctx.Err()
 }
 
 // setRecovered marks the end of the recovery time after the last fault.
