--- a/test/repeat_test.go
+++ b/test/repeat_test.go
@@ -35,6 +35,21 @@
 	c.Check(s.runsOf("asked"), qt.Equals, 1)
 }
 
+// A caller that asks for a claim that runs longer than it waits is told that it runs.
+func TestClaimStillRunningIsReportedAsRunning(t *testing.T) {
+	s := newSystem(t, options{})
+	c := s.c
+	s.warmUp()
+	p, ticket, guard := s.startClaim("slow", "2s")
+	b := s.send(3-guard, claim("slow", "").withHeader("Bulrushlock-Ticket", ticket).withHeader("Bulrushlock-Call", "0/300ms"))
+	c.Check(b.outcome, qt.Equals, "running", qt.Commentf("%+v", b))
+	c.Check(b.status, qt.Equals, 409)
+	c.Check(b.ticket, qt.Equals, ticket)
+	a := <-p.done
+	c.Check(a.outcome, qt.Equals, "run", qt.Commentf("%+v", a))
+	c.Check(s.runsOf("slow"), qt.Equals, 1)
+}
+
 func TestClaimResentWithKeyAloneRunsOnce(t *testing.T) {
 	s := newSystem(t, options{})
 	c := s.c
