fix(io/daemon): a leaving node waits until its accept queues are empty

A fixed time may not do on an instance that is short of processor time. The kernel tells the length of the queue of a listener.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -58,9 +58,11 @@
 	// maxHeaderSize is the size in bytes of the largest header of a request. Each line
 	// takes several times its size in memory once it is parsed.
 	maxHeaderSize = 32 << 10
-	// acceptTime is the time in which a leaving node accepts the connections that were opened
-	// before it stopped taking new ones. It covers a few round trips to callers.
-	acceptTime = 100 * time.Millisecond
+	// acceptTime is the time that a leaving node waits for connections which are being opened
+	// when it stops taking new ones. It covers a few round trips to callers. The node waits
+	// again while some are not accepted, at most for maxAcceptTime.
+	acceptTime    = 100 * time.Millisecond
+	maxAcceptTime = 2 * time.Second
 	// megabit converts megabits to bits.
 	megabit = 1e6
 	// idleTimeout is the time after which an idle connection to one of the HTTP
@@ -393,7 +395,26 @@
 			d.logger.Warn("connections that open now may be reset", "error", err)
 		}
 	}
-	time.Sleep(acceptTime)
+	for end := time.Now().Add(maxAcceptTime); ; {
+		time.Sleep(acceptTime)
+		if !d.hasPendingConnections() || time.Now().After(end) {
+			return
+		}
+	}
+}
+
+// hasPendingConnections reports whether connections for requests are open and not accepted.
+func (d *Daemon) hasPendingConnections() bool {
+	for _, l := range d.requestListeners {
+		count, err := sock.Pending(l)
+		if err != nil {
+			d.logger.Warn("connections that are open may be reset", "error", err)
+		}
+		if count > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // shutdown stops the node once it has drained. It waits without a timeout for responses
--- a/io/sock/refuse.go
+++ b/io/sock/refuse.go
@@ -18,7 +18,8 @@
 	tcpACK = 0x10
 )
 
-// ListenerError reports a listener that cannot stop to take new connections.
+// ListenerError reports a listener that cannot stop to take new connections, or does not tell
+// how many are pending.
 type ListenerError struct {
 	Address string
 	Cause   error
@@ -26,7 +27,7 @@
 
 // Error returns a message with the address and the cause.
 func (e *ListenerError) Error() string {
-	return fmt.Sprintf("stop new connections to %s: %v", e.Address, e.Cause)
+	return fmt.Sprintf("stop new connections to listener %s: %v", e.Address, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -47,6 +48,38 @@
 	return nil
 }
 
+// Pending returns the number of connections to l that are open and have not been accepted. It
+// fails with a *ListenerError.
+func Pending(l net.Listener) (int, error) {
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return 0, &ListenerError{Address: l.Addr().String(), Cause: syscall.ENOTSOCK}
+	}
+	var info *unix.TCPInfo
+	err := control(t, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err != nil {
+		return 0, &ListenerError{Address: l.Addr().String(), Cause: err}
+	}
+	// For a listener the kernel reports the length of the accept queue in this field.
+	return int(info.Unacked), nil
+}
+
+// control calls f with the file descriptor of l.
+func control(l *net.TCPListener, f func(fd int) error) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
+}
+
 // attachFilter attaches a filter to l that drops the segments that open connections.
 func attachFilter(l *net.TCPListener) error {
 	program, err := bpf.Assemble([]bpf.Instruction{
@@ -63,16 +96,7 @@
 	for i, p := range program {
 		filter[i] = unix.SockFilter{Code: p.Op, Jt: p.Jt, Jf: p.Jf, K: p.K}
 	}
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+	return control(l, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
 	})
-	if err != nil {
-		return err
-	}
-	return failed
 }
--- a/io/sock/refuse_test.go
+++ b/io/sock/refuse_test.go
@@ -24,6 +24,9 @@
 		c.Assert(err, qt.IsNil)
 		opened = append(opened, conn)
 	}
+	pending, err := Pending(l)
+	c.Assert(err, qt.IsNil)
+	c.Check(pending, qt.Equals, count)
 	c.Assert(StopConnections(l), qt.IsNil)
 	_, err = net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond)
 	c.Check(err, qt.IsNotNil)
@@ -37,6 +40,9 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(conn.Close(), qt.IsNil)
 	}
+	pending, err = Pending(l)
+	c.Assert(err, qt.IsNil)
+	c.Check(pending, qt.Equals, 0)
 	c.Assert(l.Close(), qt.IsNil)
 	for _, conn := range opened {
 		text, err := io.ReadAll(conn)
@@ -51,4 +57,6 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = l.Close() }()
 	c.Check(StopConnections(l), qt.ErrorMatches, "stop new connections to .*")
+	_, err = Pending(l)
+	c.Check(err, qt.IsNotNil)
 }
