--- a/io/soak/deployment.go
+++ b/io/soak/deployment.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -94,20 +94,27 @@
 func (e *StartError) Unwrap() error { return e.Cause }
 
 const (
-	// minPort and portCount are the ports of the deployment. They lie below the range from
+	// minPort and portCount are the ports of deployments. They lie below the range from
 	// which the kernel takes the ports of outgoing connections.
-	minPort   = 10_000
-	portCount = 20_000
+	minPort   = 2_000
+	portCount = 10_000
+	// portsPerProcess is the distance of the first ports of soaks with successive process
+	// IDs, so that soaks that start at the same time do not choose the same ports.
+	portsPerProcess = 64
 )
 
-// freeAddresses returns count loopback addresses that are currently not in use. They are
-// chosen at random, so that deployments that start at the same time rarely collide.
+// portsTried counts the ports that this process has tried.
+var portsTried atomic.Uint32
+
+// freeAddresses returns count loopback addresses that are currently not in use. No two calls
+// return the same address before all ports were tried.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	for _, offset := range rand.Perm(portCount) {
+	for range portCount {
 		if len(list) == count {
 			return list, nil
 		}
+		offset := (uint32(os.Getpid())*portsPerProcess + portsTried.Add(1)) % portCount
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(minPort+offset))
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
 		if err != nil {
