--- a/core/entry/decisions.go
+++ b/core/entry/decisions.go
@@ -7,6 +7,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
 )
 
 // attemptKind returns the log value for the kind of the latest attempt of req.
@@ -88,6 +89,14 @@
 	})
 }
 
+// confirmedAge returns the age of a view in microseconds, or -1 if it was never confirmed.
+func confirmedAge(age time.Duration) int64 {
+	if age == view.UnknownAge {
+		return -1
+	}
+	return age.Microseconds()
+}
+
 // logFailed logs the reply r that the entry itself sends to the caller of req.
 func (n *Entry) logFailed(now time.Time, req *request, r effect.ReplyFromEntry, out []effect.Effect) []effect.Effect {
 	return append(out, effect.Decision{
@@ -96,6 +105,8 @@
 			{Key: "outcome", Text: r.Outcome.String()},
 			{Key: "reason", Text: string(r.Reason)},
 			{Key: "service", Text: req.service},
+			{Key: "rules", Value: int64(n.versions.Rules.Revision)},
+			{Key: "rules_age_us", Value: confirmedAge(n.versions.Age)},
 			{Key: "attempts", Value: int64(req.attempts)},
 			{Key: "waited_us", Value: req.waitedBefore.Microseconds()},
 			{Key: "total_us", Value: now.Sub(req.arrivedAt).Microseconds()},
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -116,6 +116,8 @@
 	At       time.Time
 	Document Document
 	From     DocumentSource
+	// Cause is the error of the read, for the event log; it may be nil.
+	Cause error
 }
 
 // Time returns the time of the event.
--- a/core/gossip/fetch_test.go
+++ b/core/gossip/fetch_test.go
@@ -32,7 +32,7 @@
 	}
 	c.Assert(receive(now, "i1"), qt.Equals, 1)
 	c.Assert(receive(now, "i2"), qt.Equals, 0)
-	g.DocumentReadFailed(event.DocumentReadFailed{At: now, Document: event.Rules, From: event.DocumentSource{Peer: "i1"}}, 0)
+	g.DocumentReadFailed(event.DocumentReadFailed{At: now, Document: event.Rules, From: event.DocumentSource{Peer: "i1"}}, 0, nil)
 	c.Assert(receive(now, "i3"), qt.Equals, 1)
 	c.Assert(receive(now.Add(time.Second), "i2"), qt.Equals, 1)
 }
@@ -46,7 +46,7 @@
 	for _, peer := range []string{"b", "c"} {
 		g.VersionsReceived(event.VersionsReceived{At: startTime, Peer: peer, Versions: newer}, nil)
 	}
-	g.DocumentReadFailed(event.DocumentReadFailed{At: startTime, Document: event.Rules, From: event.DocumentSource{Peer: "b"}}, 0)
+	g.DocumentReadFailed(event.DocumentReadFailed{At: startTime, Document: event.Rules, From: event.DocumentSource{Peer: "b"}}, 0, nil)
 	_, out := g.Tick(event.Tick{At: startTime}, false, nil)
 	var fetched []string
 	for _, e := range out {
@@ -66,8 +66,9 @@
 	newer := event.Versions{Rules: view.Version{Revision: 2, Digest: 7}, Fleet: g.Versions(now).Fleet}
 	control := netip.MustParseAddrPort("10.0.0.9:2")
 	_, out := g.VersionsReceived(event.VersionsReceived{At: now, Peer: "new", Control: control, Versions: newer}, nil)
-	c.Assert(out, qt.HasLen, 1)
-	c.Assert(out[0].(effect.FetchDocument).Peer.ControlAddr, qt.Equals, control)
+	c.Assert(out, qt.HasLen, 2)
+	c.Assert(out[0].(effect.LogEvent).Kind, qt.Equals, effect.KindBehind)
+	c.Assert(out[1].(effect.FetchDocument).Peer.ControlAddr, qt.Equals, control)
 }
 
 func TestInvalidRevisionConfirmsPreviousRules(t *testing.T) {
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -25,6 +25,8 @@
 	fallbackAt time.Time
 	// staleReads is the number of reads so far that allowed a response a few seconds stale.
 	staleReads int
+	// platformLost reports that the last read from the platform failed.
+	platformLost bool
 	// reader reports that this node read the document from the platform and has not given up the
 	// reader role to a peer since.
 	reader bool
@@ -117,6 +119,7 @@
 // DocumentRead handles a document that was read. The version of a new document is announced to
 // peers; an invalid or older document delays the next read.
 func (g *Gossip) DocumentRead(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
+	out = g.recordReadable(e.At, e.Document, e.From, out)
 	g.finishRead(e.Document, e.From)
 	verdict, err := g.offer(e)
 	if e.MayBeStale {
@@ -195,6 +198,7 @@
 
 // DocumentUnchanged handles the response of a source that holds no newer document.
 func (g *Gossip) DocumentUnchanged(e event.DocumentUnchanged, out []effect.Effect) (Change, []effect.Effect) {
+	out = g.recordReadable(e.At, e.Document, e.From, out)
 	g.finishRead(e.Document, e.From)
 	if e.Document == event.Fleet {
 		g.fleet.AdvanceRevision(e.Revision)
@@ -239,10 +243,47 @@
 }
 
 // DocumentReadFailed handles a failed read.
-func (g *Gossip) DocumentReadFailed(e event.DocumentReadFailed, random uint64) Change {
+func (g *Gossip) DocumentReadFailed(e event.DocumentReadFailed, random uint64, out []effect.Effect) (Change, []effect.Effect) {
+	out = g.logReadFailed(e, out)
 	g.finishRead(e.Document, e.From)
 	g.backOff(e, e.Document, e.From, random)
-	return Change{Freshness: g.freshness.fail()}
+	return Change{Freshness: g.freshness.fail()}, out
+}
+
+// logReadFailed logs a failed read from a peer, and the first of consecutive failed reads from the
+// platform.
+func (g *Gossip) logReadFailed(e event.DocumentReadFailed, out []effect.Effect) []effect.Effect {
+	kind := effect.KindUnread
+	if e.From.Peer == "" {
+		r := &g.reads[e.Document]
+		if r.platformLost {
+			return out
+		}
+		r.platformLost = true
+		kind = effect.KindLost
+	}
+	return append(out, effect.LogEvent{Kind: kind, Text: fmt.Sprintf("%s from %s: %v; %s", e.Document, sourceName(e.From), e.Cause, g.heldText(e.At, e.Document))})
+}
+
+// recordReadable logs that the platform can be read again after a failed read.
+func (g *Gossip) recordReadable(at time.Time, d event.Document, from event.DocumentSource, out []effect.Effect) []effect.Effect {
+	if r := &g.reads[d]; from.Peer != "" || !r.platformLost {
+		return out
+	}
+	g.reads[d].platformLost = false
+	return append(out, effect.LogEvent{Kind: effect.KindRegained, Text: fmt.Sprintf("%s from the platform; %s", d, g.heldText(at, d))})
+}
+
+// heldText returns the revision and the age of a document that this node holds, for the event log.
+func (g *Gossip) heldText(at time.Time, d event.Document) string {
+	age := g.RulesAge(at)
+	if d == event.Fleet {
+		age = g.FleetAge(at)
+	}
+	if age == view.UnknownAge {
+		return fmt.Sprintf("holds revision %d, never confirmed", g.version(d).Revision)
+	}
+	return fmt.Sprintf("holds revision %d, confirmed %v ago", g.version(d).Revision, age.Round(time.Millisecond))
 }
 
 // finishRead clears the pending read of the platform or of a peer.
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"errors"
 	"net/netip"
 	"testing"
 	"time"
@@ -152,3 +153,33 @@
 		c.Assert(informed, qt.HasLen, 4)
 	}
 }
+
+// An operator must see once that the platform is lost and once that it is back, each with what
+// the node holds.
+func TestLostAndRegainedPlatformIsLogged(t *testing.T) {
+	c := qt.New(t)
+	g := gossip.New("a", "north")
+	read(g, startTime, event.Rules, 3, ruleText)
+	var logged []effect.LogEvent
+	record := func(out []effect.Effect) {
+		for _, e := range out {
+			if l, ok := e.(effect.LogEvent); ok && (l.Kind == effect.KindLost || l.Kind == effect.KindRegained || l.Kind == effect.KindUnread) {
+				logged = append(logged, l)
+			}
+		}
+	}
+	cause := errors.New("refused")
+	for _, from := range []string{"", "", "b"} {
+		_, out := g.DocumentReadFailed(event.DocumentReadFailed{At: startTime.Add(time.Second), Document: event.Rules, From: event.DocumentSource{Peer: from}, Cause: cause}, 0, nil)
+		record(out)
+	}
+	for range 2 {
+		_, out := g.DocumentUnchanged(event.DocumentUnchanged{At: startTime.Add(2 * time.Second), Document: event.Rules}, nil)
+		record(out)
+	}
+	c.Assert(logged, qt.DeepEquals, []effect.LogEvent{
+		{Kind: effect.KindLost, Text: "rules from the platform: refused; holds revision 3, confirmed 1s ago"},
+		{Kind: effect.KindUnread, Text: "rules from b: refused; holds revision 3, confirmed 1s ago"},
+		{Kind: effect.KindRegained, Text: "rules from the platform; holds revision 3, confirmed 2s ago"},
+	})
+}
--- a/core/gossip/start_test.go
+++ b/core/gossip/start_test.go
@@ -114,7 +114,7 @@
 		switch {
 		case f.isGone(node):
 		case f.refused != nil && f.refused(node) || revision == 0:
-			g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document}, f.random.Uint64())
+			g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document}, f.random.Uint64(), nil)
 		case revision == e.After && e.Document == event.Rules && e.MaxHold > 0:
 			_, out := g.DocumentUnchanged(event.DocumentUnchanged{At: f.now, QueriedAt: f.now, Document: e.Document, Revision: revision}, nil)
 			f.run(node, out)
@@ -143,7 +143,7 @@
 			peer := f.index[e.Peer.Name]
 			f.next = append(f.next, func() {
 				if f.isGone(peer) {
-					g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64())
+					g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 					return
 				}
 				text, revision := f.nodes[peer].Text(e.Document)
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -144,6 +145,7 @@
 		return out
 	}
 	r.requested, r.requestedAt = v, at
+	out = append(out, effect.LogEvent{Kind: effect.KindBehind, Text: fmt.Sprintf("%s revision %d announced by %s; %s", d, v.Revision, p.Name, g.heldText(at, d))})
 	return append(out, effect.FetchDocument{Document: d, Peer: p, After: g.version(d).Revision})
 }
 
--- a/core/gossip/watch_test.go
+++ b/core/gossip/watch_test.go
@@ -82,7 +82,7 @@
 		for _, a := range due {
 			switch {
 			case down(a.node):
-				nodes[a.node].DocumentReadFailed(event.DocumentReadFailed{At: now, Document: a.d}, uint64(calls)*977_777_777)
+				nodes[a.node].DocumentReadFailed(event.DocumentReadFailed{At: now, Document: a.d}, uint64(calls)*977_777_777, nil)
 			case a.at.After(now):
 				pending = append(pending, a)
 			default:
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -22,7 +22,7 @@
 	case event.DocumentUnchanged:
 		change, out = n.gossip.DocumentUnchanged(e, out)
 	case event.DocumentReadFailed:
-		change = n.gossip.DocumentReadFailed(e, random)
+		change, out = n.gossip.DocumentReadFailed(e, random, out)
 	case event.VersionsReceived:
 		change, out = n.gossip.VersionsReceived(e, out)
 	case event.PeerUnreachable:
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -28,8 +28,8 @@
 const (
 	// maxInvalid is the number of invalid versions that a view remembers.
 	maxInvalid = 16
-	// unknownAge is the age of a view that was never confirmed.
-	unknownAge = time.Duration(math.MaxInt64)
+	// UnknownAge is the age of a view that was never confirmed.
+	UnknownAge = time.Duration(math.MaxInt64)
 )
 
 // Version identifies one text of a document.
@@ -170,7 +170,7 @@
 // be out of date too.
 func (v *View[T]) Age(now time.Time) time.Duration {
 	if !v.held || !v.hasConfirmation {
-		return unknownAge
+		return UnknownAge
 	}
 	return max(now.Sub(v.confirmedAt), 0)
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -78,6 +79,20 @@
 	return r
 }
 
+// InterruptedError reports a read that a suspension of the process or a panic has interrupted.
+type InterruptedError struct{}
+
+// Error returns a fixed message.
+func (*InterruptedError) Error() string { return "the read was interrupted" }
+
+// MissingError reports a peer that does not hold a document.
+type MissingError struct {
+	Document event.Document
+}
+
+// Error returns a message that names the document.
+func (e *MissingError) Error() string { return fmt.Sprintf("the peer holds no %s", e.Document) }
+
 // Start sets the loop that receives events and the RPC client, and reads the documents
 // from the configured peers.
 func (r *Runner) Start(l *loop.Loop, w *wire.Endpoint) {
@@ -146,7 +161,7 @@
 // fetch reads a document from the platform or from a peer.
 func (r *Runner) fetch(e effect.FetchDocument) {
 	defer r.processOnPanic(func() event.Event {
-		failed := event.DocumentReadFailed{At: time.Now(), Document: e.Document}
+		failed := event.DocumentReadFailed{At: time.Now(), Document: e.Document, Cause: &InterruptedError{}}
 		if e.Peer != nil {
 			failed.From.Peer = e.Peer.Name
 		}
@@ -178,7 +193,7 @@
 	switch {
 	case now.After(deadline):
 		// The process was suspended, so the response may be out of date.
-		r.loop.Process(event.DocumentReadFailed{At: now, Document: e.Document})
+		r.loop.Process(event.DocumentReadFailed{At: now, Document: e.Document, Cause: &InterruptedError{}})
 	case errors.As(err, &unchanged):
 		// If the platform held the call, the response is current as of the end of the hold.
 		if held := queriedAt.Add(e.MaxHold); !held.After(now) {
@@ -186,7 +201,7 @@
 		}
 		r.loop.Process(event.DocumentUnchanged{At: now, QueriedAt: queriedAt, Document: e.Document, Revision: unchanged.Revision})
 	case err != nil:
-		r.loop.Process(event.DocumentReadFailed{At: now, Document: e.Document})
+		r.loop.Process(event.DocumentReadFailed{At: now, Document: e.Document, Cause: err})
 	default:
 		r.loop.Process(event.DocumentRead{At: now, QueriedAt: queriedAt, Document: e.Document, Text: d.Text, Revision: d.Revision, MayBeStale: e.AllowStale})
 	}
@@ -196,8 +211,11 @@
 func (r *Runner) fetchFromPeer(peer netip.AddrPort, from event.DocumentSource, d event.Document) {
 	text, revision, err := r.wire.FetchDocument(r.context, peer, d)
 	now := time.Now()
-	if err != nil || revision == 0 {
-		r.loop.Process(event.DocumentReadFailed{At: now, Document: d, From: from})
+	if err == nil && revision == 0 {
+		err = &MissingError{Document: d}
+	}
+	if err != nil {
+		r.loop.Process(event.DocumentReadFailed{At: now, Document: d, From: from, Cause: err})
 		return
 	}
 	r.loop.Process(event.DocumentRead{At: now, Document: d, From: from, Text: text, Revision: revision})
