fix(core/gossip): the reader role and its retries follow reads of the platform, not echoes of them

Callers got the answer of older rules after the bound of newer ones (2 s).

Versions now name the node whose read of the platform confirmed the document; it travels in the number of the datagram, which messages of versions did not use (0, unknown, from older nodes). A reader gives up its role only for one that precedes it in the reading order. A failed read is retried from its start, each node in its own turn, one in each 200 ms; once a node reads successfully, the others follow it in the reading order again.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -131,6 +131,10 @@
 	Age time.Duration
 	// FleetAge is the time since the instance list was last known to be current.
 	FleetAge time.Duration
+	// RulesReader and FleetReader identify the node that read the platform when the document was
+	// last known to be current; 0 is unknown.
+	RulesReader uint32
+	FleetReader uint32
 }
 
 // VersionsReceived reports the versions that a peer holds.
--- a/core/gossip/freshness.go
+++ b/core/gossip/freshness.go
@@ -100,7 +100,7 @@
 	g.freshness.lastCheck = at
 	g.freshness.pauseCheckedAt = at
 	before := len(out)
-	g.reads[event.Rules].platformReadPending = true
+	g.reads[event.Rules].startRead(at)
 	out = append(out, effect.FetchDocument{Document: event.Rules, After: g.rules.Version().Revision})
 	out = g.exchangeVersions(at, random, checkFanout, out)
 	g.freshness.pendingResponses = len(out) - before
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -43,8 +43,14 @@
 	// whole fleet starts, the list has few entries at first, and the listed nodes inform the others
 	// once these are listed.
 	minUnlistedPosition = 20
-	// minRetryDelay is the lower bound of the mean delay before a failed read is retried.
+	// minRetryDelay is the mean of the shortest time between a failed read and its retry.
 	minRetryDelay = time.Second
+	// failedReadPause is the time for which a node whose read has failed leaves the reads to the
+	// others, if one of them reads successfully: the platform may refuse this node alone.
+	failedReadPause = 2 * time.Second
+	// settleTime is the time after the start of a node within which the instance list may still
+	// grow, so that nodes do not agree on the reading order yet.
+	settleTime = 5 * time.Second
 	// aloneDelay is the mean delay between two stale reads of a node that knows no peers.
 	aloneDelay = 2 * time.Second
 	// minBroadcastInterval is the minimum time between two broadcasts while nothing changes.
@@ -131,7 +137,14 @@
 
 // Versions returns the versions and ages of the documents that this node holds.
 func (g *Gossip) Versions(now time.Time) event.Versions {
-	return event.Versions{Rules: g.rules.Version(), Fleet: g.fleet.Version(), Age: g.RulesAge(now), FleetAge: g.FleetAge(now)}
+	return event.Versions{
+		Rules:       g.rules.Version(),
+		Fleet:       g.fleet.Version(),
+		Age:         g.RulesAge(now),
+		FleetAge:    g.FleetAge(now),
+		RulesReader: g.reads[event.Rules].confirmedBy,
+		FleetReader: g.reads[event.Fleet].confirmedBy,
+	}
 }
 
 // RulesAge returns the time since the rules were last confirmed to be current.
@@ -148,7 +161,7 @@
 	g.lastRound = at
 	g.started = at
 	for d := range event.Document(documentCount) {
-		g.reads[d].platformReadPending = true
+		g.reads[d].startRead(at)
 		out = append(out, effect.FetchDocument{Document: d, AllowStale: true})
 	}
 	return out
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -15,7 +17,10 @@
 type readState struct {
 	// platformReadPending is set while a read from the platform is in progress.
 	platformReadPending bool
-	// retryAt is the earliest time at which a failed read is retried.
+	// readAt is the time at which the last read from the platform started.
+	readAt time.Time
+	// retryAt is the earliest time at which the last read is retried, if it returned nothing
+	// usable; zero if it did.
 	retryAt time.Time
 	// aloneUntil is the time until which a node that knows no peers waits after a stale read. While
 	// a whole fleet starts, its instance list grows within seconds.
@@ -30,6 +35,10 @@
 	// reader reports that this node read the document from the platform and has not given up the
 	// reader role to a peer since.
 	reader bool
+	// yieldedAt is the time at which this node last heard of a node that reads in its place.
+	yieldedAt time.Time
+	// confirmedBy identifies the node whose read of the platform last confirmed the document.
+	confirmedBy uint32
 	// isOwnRead reports that the held document stems from a read of the platform by this node that
 	// was not stale, so that changes may be applied to it.
 	isOwnRead bool
@@ -51,12 +60,12 @@
 }
 
 // fetchFromPlatform reads a document from the platform, unless a read is pending.
-func (g *Gossip) fetchFromPlatform(d event.Document, out []effect.Effect) []effect.Effect {
+func (g *Gossip) fetchFromPlatform(at time.Time, d event.Document, out []effect.Effect) []effect.Effect {
 	r := &g.reads[d]
 	if r.platformReadPending {
 		return out
 	}
-	r.platformReadPending = true
+	r.startRead(at)
 	f := effect.FetchDocument{Document: d, After: g.version(d).Revision}
 	switch {
 	case len(g.peers) == 0 && r.staleReads < maxStaleReads:
@@ -69,6 +78,12 @@
 	return append(out, f)
 }
 
+// startRead records that a read from the platform starts.
+func (r *readState) startRead(at time.Time) {
+	r.platformReadPending = true
+	r.readAt = at
+}
+
 // readsChanges reports whether the next read requests only the changes, and counts it. The whole
 // document is read again from time to time.
 func (r *readState) readsChanges() bool {
@@ -90,10 +105,48 @@
 		return out
 	}
 	isFallbackDue := !r.fallbackAt.IsZero() && !e.At.Before(r.fallbackAt)
-	if !isFallbackDue && g.sinceConfirmed(d, e.At) < g.readDueAge(d) {
+	if !isFallbackDue && e.At.Before(g.nextReadAt(d, e.At)) {
 		return out
 	}
-	return g.fetchFromPlatform(d, out)
+	return g.fetchFromPlatform(e.At, d, out)
+}
+
+// nextReadAt returns the time at which the next read of a document is due. While no node gets a
+// usable response, each node retries in its own turn, so that one of them reads the platform in
+// each readStagger, and soon after the end of an outage. As soon as a node has got one, the
+// others take over from it in the reading order again.
+func (g *Gossip) nextReadAt(d event.Document, now time.Time) time.Time {
+	r := &g.reads[d]
+	confirmedAt := now.Add(-g.sinceConfirmed(d, now))
+	due := confirmedAt.Add(g.readDueAge(d))
+	switch {
+	case r.retryAt.IsZero() && r.reader && r.confirmedBy == readerID(g.instance):
+		// The platform holds a read for as long, so that the reader learns of a change at once.
+		return r.readAt.Add(rereadAge)
+	case r.retryAt.IsZero():
+		return due
+	case confirmedAt.After(r.readAt) && g.isSettled(now):
+		return laterOf(due, r.readAt.Add(failedReadPause))
+	case confirmedAt.After(r.readAt):
+		return laterOf(due, g.started.Add(settleTime))
+	case !g.isConfirmed(d):
+		// Nodes that start do not agree on the reading order yet.
+		return laterOf(due, r.retryAt)
+	}
+	turn := confirmedAt.Add(rereadAge + time.Duration(g.position)*readStagger)
+	round := time.Duration(len(g.peers)+1) * readStagger
+	if missed := r.retryAt.Sub(turn); missed > 0 {
+		turn = turn.Add((missed + round - 1) / round * round)
+	}
+	return turn
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // sinceConfirmed returns the time since a document was last confirmed. If it never was, it
@@ -116,6 +169,17 @@
 	return rereadAge + time.Duration(g.position)*readStagger
 }
 
+// isSettled reports whether nodes that started with this one agree on the reading order.
+func (g *Gossip) isSettled(now time.Time) bool { return now.Sub(g.started) > settleTime }
+
+// isConfirmed reports whether a document was ever confirmed.
+func (g *Gossip) isConfirmed(d event.Document) bool {
+	if d == event.Fleet {
+		return g.fleet.IsConfirmed()
+	}
+	return g.rules.IsConfirmed()
+}
+
 // DocumentRead handles a document that was read. The version of a new document is announced to
 // peers; an invalid or older document delays the next read.
 func (g *Gossip) DocumentRead(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
@@ -126,7 +190,7 @@
 		g.reads[e.Document].aloneUntil = e.At.Add(jitter(aloneDelay, random))
 	}
 	if err != nil {
-		g.backOff(e, e.Document, e.From, random)
+		g.backOff(e.Document, e.From, random)
 		return g.skipInvalid(e, g.logInvalid(e, err, out))
 	}
 	switch verdict {
@@ -139,11 +203,11 @@
 		}
 		return g.confirmFromPlatform(e, out)
 	case view.Invalid:
-		g.backOff(e, e.Document, e.From, random)
+		g.backOff(e.Document, e.From, random)
 		return g.skipInvalid(e, out)
 	case view.Older:
 	}
-	g.backOff(e, e.Document, e.From, random)
+	g.backOff(e.Document, e.From, random)
 	return Change{}, append(out, effect.IncrementCounter{Name: "older_document"})
 }
 
@@ -219,12 +283,12 @@
 	if g.freshness.isTooOld(at) {
 		return Change{Freshness: g.freshness.fail()}, out
 	}
-	g.reads[e.Document].reader = true
+	// A node that has yielded during the read leaves the next one to others.
+	r := &g.reads[e.Document]
+	r.reader = !r.yieldedAt.After(r.readAt)
 	var change Change
-	if e.Document == event.Fleet {
-		g.fleet.Confirm(at)
-	} else {
-		g.rules.Confirm(at)
+	g.confirm(e.Document, at, readerID(g.instance))
+	if e.Document == event.Rules {
 		change.Freshness = g.freshness.confirm()
 	}
 	if e.At.Sub(g.lastBroadcast) < minBroadcastInterval {
@@ -234,6 +298,22 @@
 	return change, g.broadcastVersions(e.At, out)
 }
 
+// confirm records that a node read the platform at the given time, and that the held document was
+// current then.
+func (g *Gossip) confirm(d event.Document, at time.Time, reader uint32) {
+	confirm := g.rules.Confirm
+	if d == event.Fleet {
+		confirm = g.fleet.Confirm
+	}
+	if confirm(at) {
+		g.reads[d].confirmedBy = reader
+	}
+}
+
+// readerID returns the number that identifies the node of an instance as a reader. Nodes with
+// lower numbers precede others in the reading order.
+func readerID(instance string) uint32 { return uint32(xxhash.Sum64String(instance) >> 32) }
+
 // requestTime returns the time at which the node sent its request, or at if that is not known.
 func requestTime(queriedAt, at time.Time) time.Time {
 	if queriedAt.IsZero() {
@@ -246,7 +326,7 @@
 func (g *Gossip) DocumentReadFailed(e event.DocumentReadFailed, random uint64, out []effect.Effect) (Change, []effect.Effect) {
 	out = g.logReadFailed(e, out)
 	g.finishRead(e.Document, e.From)
-	g.backOff(e, e.Document, e.From, random)
+	g.backOff(e.Document, e.From, random)
 	return Change{Freshness: g.freshness.fail()}, out
 }
 
@@ -291,22 +371,25 @@
 	if from.Peer == "" {
 		g.reads[d].platformReadPending = false
 		g.reads[d].fallbackAt = time.Time{}
+		g.reads[d].retryAt = time.Time{}
 		return
 	}
 	g.reads[d].requested = view.Version{}
 }
 
-// backOff delays the next platform read of a document after one that returned nothing usable.
-// The mean delay grows with the number of peers, so that if the reads of all nodes fail, they make
-// together no more than about one read per readStagger.
-func (g *Gossip) backOff(e event.Event, d event.Document, from event.DocumentSource, random uint64) {
+// backOff delays the next platform read of a document after one that returned nothing usable. The
+// delay counts from the start of that read, so that one that has timed out is retried soon. Until
+// a first confirmation the mean delay grows with the number of peers, so that if the reads of all
+// nodes fail, they make together no more than about one read per readStagger.
+func (g *Gossip) backOff(d event.Document, from event.DocumentSource, random uint64) {
 	if from.Peer != "" {
 		return
 	}
-	mean := max(minRetryDelay, time.Duration(len(g.peers))*readStagger)
-	if next := e.Time().Add(jitter(mean, random)); g.reads[d].retryAt.Before(next) {
-		g.reads[d].retryAt = next
+	mean := minRetryDelay
+	if !g.isConfirmed(d) {
+		mean = max(mean, time.Duration(len(g.peers))*readStagger)
 	}
+	g.reads[d].retryAt = g.reads[d].readAt.Add(jitter(mean, random))
 }
 
 // jitter returns a duration between 0.5 and 1.5 times d.
--- a/core/gossip/reads_test.go
+++ b/core/gossip/reads_test.go
@@ -59,6 +59,7 @@
 func confirmFromReader(g *gossip.Gossip, at time.Time) {
 	v := g.Versions(at)
 	v.Age, v.FleetAge = 0, 0
+	v.RulesReader, v.FleetReader = 1, 1
 	g.VersionsReceived(event.VersionsReceived{At: at, Peer: "reader", Versions: v}, nil)
 }
 
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -65,7 +63,7 @@
 	if !g.rules.AdoptIfSameText(e.Versions.Rules) || e.Versions.Age > maxConfirmedAge || g.freshness.isTooOld(confirmedAt) {
 		return Change{Freshness: g.freshness.fail()}, out
 	}
-	g.rules.Confirm(confirmedAt)
+	g.confirm(event.Rules, confirmedAt, e.Versions.RulesReader)
 	return Change{Freshness: g.freshness.confirm() || becameFresh}, out
 }
 
@@ -80,23 +78,27 @@
 	}
 	becameFresh := false
 	if g.rules.AdoptIfSameText(e.Versions.Rules) {
-		g.yieldReaderRole(event.Rules, e, e.Versions.Age, g.RulesAge(at))
-		g.rules.Confirm(at.Add(-e.Versions.Age))
+		g.yieldReaderRole(event.Rules, at, e.Versions.RulesReader, e.Versions.Age)
+		g.confirm(event.Rules, at.Add(-e.Versions.Age), e.Versions.RulesReader)
 		becameFresh = e.Versions.Age < maxConfirmedAge && g.freshness.confirm()
 	}
 	if g.fleet.AdoptIfSameText(e.Versions.Fleet) {
-		g.yieldReaderRole(event.Fleet, e, e.Versions.FleetAge, g.FleetAge(at))
-		g.fleet.Confirm(at.Add(-e.Versions.FleetAge))
+		g.yieldReaderRole(event.Fleet, at, e.Versions.FleetReader, e.Versions.FleetAge)
+		g.confirm(event.Fleet, at.Add(-e.Versions.FleetAge), e.Versions.FleetReader)
 	}
 	return becameFresh
 }
 
-// yieldReaderRole gives up the reader role for a document if the peer of e confirmed it later than
-// this node, or confirmed it within rereadAge and precedes this node in the reading order.
-func (g *Gossip) yieldReaderRole(d event.Document, e event.VersionsReceived, age, own time.Duration) {
-	isFirst := age < rereadAge && xxhash.Sum64String(e.Peer) < xxhash.Sum64String(g.instance)
-	if age < own || isFirst {
+// yieldReaderRole gives up the reader role for a document if the platform was read less than
+// rereadAge ago by a node that precedes this one in the reading order. While a fleet starts and
+// has many readers, a node yields to any that read later than itself.
+func (g *Gossip) yieldReaderRole(d event.Document, at time.Time, reader uint32, age time.Duration) {
+	own := readerID(g.instance)
+	isLater := !g.isSettled(at) && reader != own && age < g.sinceConfirmed(d, at)
+	isFirst := reader != 0 && reader < own && age < rereadAge
+	if isLater || isFirst {
 		g.reads[d].reader = false
+		g.reads[d].yieldedAt = at
 	}
 }
 
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -157,14 +157,20 @@
 	return v.acceptedAt
 }
 
-// Confirm records that the held text, or an older one, was the newest at the given time.
-func (v *View[T]) Confirm(now time.Time) {
-	if !v.hasConfirmation || now.After(v.confirmedAt) {
+// Confirm records that the held text, or an older one, was the newest at the given time. It
+// reports whether that is the newest confirmation.
+func (v *View[T]) Confirm(now time.Time) bool {
+	isNewest := !v.hasConfirmation || now.After(v.confirmedAt)
+	if isNewest {
 		v.confirmedAt = now
 	}
 	v.hasConfirmation = true
+	return isNewest
 }
 
+// IsConfirmed reports whether the view was ever confirmed.
+func (v *View[T]) IsConfirmed() bool { return v.hasConfirmation }
+
 // Age returns the time since the last confirmation, or the longest Duration if there was none
 // or the view holds no text. Accepting a text does not reset the age, because its source may
 // be out of date too.
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -109,7 +109,10 @@
 func TestDatagramRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(0, 1<<20)
-		m := message{Kind: kind(rapid.IntRange(int(kindLoadRequest), int(kindRelayVersions)).Draw(t, "kind")), Number: rapid.Uint64().Draw(t, "number")}
+		m := message{Kind: kind(rapid.IntRange(int(kindLoadRequest), int(kindRelayVersions)).Draw(t, "kind"))}
+		if m.Kind == kindLoadRequest || m.Kind == kindLoad {
+			m.Number = rapid.Uint64().Draw(t, "number")
+		}
 		if m.Kind != kindLoadRequest {
 			m.From = ticket.NodeID{Instance: rapid.StringMatching(`[a-z0-9-]{1,32}`).Draw(t, "name"), Incarnation: rapid.Uint64().Draw(t, "life")}
 		}
@@ -125,6 +128,8 @@
 			m.Versions.Fleet = view.Version{Revision: rapid.Uint64().Draw(t, "fleet"), Digest: rapid.Uint64().Draw(t, "fleet digest")}
 			m.Versions.Age = time.Duration(count.Draw(t, "age"))
 			m.Versions.FleetAge = time.Duration(count.Draw(t, "fleet age"))
+			m.Versions.RulesReader = rapid.Uint32().Draw(t, "rules reader")
+			m.Versions.FleetReader = rapid.Uint32().Draw(t, "fleet reader")
 		}
 		b := m.append(nil)
 		got, err := parse(b)
--- a/io/dgram/message.go
+++ b/io/dgram/message.go
@@ -35,7 +35,8 @@
 // message is the content of a datagram. Which fields are set depends on its kind.
 type message struct {
 	Kind kind
-	// Number identifies the load request that a load responds to.
+	// Number identifies the load request that a load responds to. In a message of versions it
+	// holds the readers of the rules and of the instance list.
 	Number   uint64
 	From     ticket.NodeID
 	Load     report.Load
@@ -63,7 +64,11 @@
 // append appends the encoded form of m to b.
 func (m message) append(b []byte) []byte {
 	b = append(b, formatVersion, byte(m.Kind))
-	b = binary.BigEndian.AppendUint64(b, m.Number)
+	number := m.Number
+	if m.Kind == kindVersions || m.Kind == kindRelayVersions {
+		number = uint64(m.Versions.RulesReader)<<32 | uint64(m.Versions.FleetReader)
+	}
+	b = binary.BigEndian.AppendUint64(b, number)
 	if m.Kind == kindLoadRequest {
 		return b
 	}
@@ -179,6 +184,8 @@
 		v.Rules.Revision, v.Rules.Digest = r.uvarint(), r.uvarint()
 		v.Fleet.Revision, v.Fleet.Digest = r.uvarint(), r.uvarint()
 		v.Age, v.FleetAge = r.age(), r.age()
+		v.RulesReader, v.FleetReader = uint32(m.Number>>32), uint32(m.Number)
+		m.Number = 0
 	default:
 		r.failed = true
 	}
