fix(core/gossip): more nodes take over the reads of the platform with each step

Callers got the answer of older rules after the bound of newer ones (2 s).

Cause: nodes take over 200 ms after each other.

The number of nodes that take over now doubles with each 200 ms: the view of 13 nodes is at most 0.8 + 1 s old. From position 32 on they follow one by one as before, so that a large fleet does not read at once. Nodes that have just started keep the old delays, as they do not agree on the order.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -51,6 +51,8 @@
 	// settleTime is the time after the start of a node within which the instance list may still
 	// grow, so that nodes do not agree on the reading order yet.
 	settleTime = 5 * time.Second
+	// maxEarlyPosition is the last position in the reading order at which nodes take over early.
+	maxEarlyPosition = 31
 	// aloneDelay is the mean delay between two stale reads of a node that knows no peers.
 	aloneDelay = 2 * time.Second
 	// minBroadcastInterval is the minimum time between two broadcasts while nothing changes.
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +119,7 @@
 func (g *Gossip) nextReadAt(d event.Document, now time.Time) time.Time {
 	r := &g.reads[d]
 	confirmedAt := now.Add(-g.sinceConfirmed(d, now))
-	due := confirmedAt.Add(g.readDueAge(d))
+	due := confirmedAt.Add(g.readDueAge(d, now))
 	switch {
 	case r.retryAt.IsZero() && r.reader && r.confirmedBy == readerID(g.instance):
 		// The platform holds a read for as long, so that the reader learns of a change at once.
@@ -162,11 +163,24 @@
 // readDueAge returns the age of a document at which this node reads it. A node that knows peers
 // leaves the read to those before it also while it holds no document: they inform it once they
 // hold one.
-func (g *Gossip) readDueAge(d event.Document) time.Duration {
+func (g *Gossip) readDueAge(d event.Document, now time.Time) time.Duration {
 	if g.reads[d].reader || len(g.peers) == 0 {
 		return rereadAge
 	}
-	return rereadAge + time.Duration(g.position)*readStagger
+	return rereadAge + g.takeoverDelay(d, now)
+}
+
+// takeoverDelay returns the time that this node leaves to the nodes before it in the reading
+// order. Once this node has settled, the number of nodes that take over doubles with each
+// readStagger, so that a view stays young also where most of the first nodes are unavailable. The
+// nodes after maxEarlyPosition follow one by one, which bounds the reads of a large fleet.
+func (g *Gossip) takeoverDelay(d event.Document, now time.Time) time.Duration {
+	steps := g.position
+	if g.position > 0 && g.isConfirmed(d) && g.isSettled(now) {
+		early := min(g.position, maxEarlyPosition)
+		steps = 1 + bits.Len(uint(early-1)) + g.position - early
+	}
+	return time.Duration(steps) * readStagger
 }
 
 // isSettled reports whether nodes that started with this one agree on the reading order.
