fix(core/guard): a backend server that states a limit gets no more requests than that

Cause: nothing read the limit. Every attempt passes the guard beside the backend server, so that the guard can keep a limit that is summed over all nodes, without agreement. core/quota counts starts against it. The wait for it is part of the reported wait, by which entries select and reject at once. A guard that restarts has forgotten it: entries, which are not excused, send what they know with their attempts.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -117,6 +117,9 @@
 	TargetLeft time.Duration
 	// Nested is set if a running request depends on this one.
 	Nested bool
+	// RateLimit is the limit of the backend server in requests per second that the entry knows
+	// from earlier responses, or 0.
+	RateLimit float64
 }
 
 // RelayResponse passes the response of an attempt to the caller.
@@ -265,6 +268,7 @@
 	KindPaused       Kind = "pause"
 	KindCold         Kind = "cold"
 	KindWarm         Kind = "warm"
+	KindQuota        Kind = "quota"
 	KindOutOfService Kind = "out"
 	KindInService    Kind = "back"
 	KindLeave        Kind = "leave"
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -181,6 +181,9 @@
 		if !ok || p.instance.ForwardAddr != i.ForwardAddr {
 			p = &peer{}
 		}
+		if p.instance.Incarnation != i.Incarnation {
+			p.rateLimit = 0
+		}
 		p.instance = i
 		peers[i.Name] = p
 		n.peerOrder = append(n.peerOrder, p)
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -35,6 +35,10 @@
 	failures int
 	// latency is the moving average over all successful requests, of any cost.
 	latency time.Duration
+	// rateLimit is the limit of the backend server in requests per second that the guard
+	// reported with the last response, or 0. rateLimitAt is the time of that response.
+	rateLimit   float64
+	rateLimitAt time.Time
 	// probedAt is the time at which this entry last probed the peer after a failure.
 	probedAt time.Time
 }
@@ -65,10 +69,24 @@
 	return p.load.Leaving && now.Sub(p.reportedAt) < leavingTTL
 }
 
+// announcementTTL is the time for which this entry remembers what a backend server announced in
+// its responses.
+const announcementTTL = 10 * time.Second
+
+// knownRateLimit returns the limit of the backend server in requests per second, or 0 if none is
+// known.
+func (p *peer) knownRateLimit(now time.Time) float64 {
+	if now.Sub(p.rateLimitAt) > announcementTTL {
+		return 0
+	}
+	return p.rateLimit
+}
+
 // observe updates the peer from the result of an attempt.
 func (p *peer) observe(e event.AttemptEnded) {
 	if e.Load != nil {
 		p.recordLoad(*e.Load, e.At)
+		p.rateLimit, p.rateLimitAt = e.Load.RateLimit, e.At
 	}
 	if e.Guard.Instance == p.instance.Name && e.Guard.Incarnation != 0 {
 		p.incarnation = e.Guard.Incarnation
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -247,6 +247,7 @@
 		HedgeDelay: n.hedgeDelay(now, req),
 		TargetLeft: req.targetTimeLeft(now),
 		Nested:     req.isNested(),
+		RateLimit:  p.knownRateLimit(now),
 	})
 }
 
--- a/core/entry/target_test.go
+++ b/core/entry/target_test.go
@@ -352,3 +352,35 @@
 		})
 	}
 }
+
+// A guard that has restarted has forgotten the limit of its backend server, which the entry
+// knows from earlier responses.
+func TestKnownLimitIsSentWithAttempts(t *testing.T) {
+	c := qt.New(t)
+	n := newProbingEntry(c)
+	// send sends a request to the guard near-1, and returns the limit that its attempt carries.
+	send := func(id uint64, at time.Time) effect.Forward {
+		s := findEffect[effect.ProbeCandidates](c, n.Request(getRequest(id, "/lines", at, 3*time.Second), nil))
+		loads := reportLoads(at, s.Peers, report.Load{Limit: 7, Slow: 1000})
+		loads = append(loads, event.LoadReported{At: at, Guard: ticket.NodeID{Instance: "near-1", Incarnation: 5}, Load: report.Load{Limit: 7, Slow: 100}})
+		f := findEffect[effect.Forward](c, n.CandidatesProbed(event.CandidatesProbed{At: at, ID: s.ID, Loads: loads}, nil))
+		c.Assert(f.Peer.Name, qt.Equals, "near-1")
+		return f
+	}
+	end := func(f effect.Forward, at time.Time, rate float64) {
+		n.AttemptEnded(event.AttemptEnded{
+			At: at, ID: f.ID, Ticket: f.Ticket, Verdict: event.Ran, Status: 200, Guard: f.Ticket.Guard, Load: &report.Load{Limit: 7, Slow: 100, RateLimit: rate},
+		}, nil)
+	}
+	at := now.Add(time.Minute)
+	f := send(1, at)
+	c.Check(f.RateLimit, qt.Equals, 0.0)
+	end(f, at, 3.3)
+	f = send(2, at.Add(time.Second))
+	c.Check(f.RateLimit, qt.Equals, 3.3)
+	end(f, at.Add(time.Second), 3.3)
+	c.Check(send(3, at.Add(time.Minute)).RateLimit, qt.Equals, 0.0, qt.Commentf("too long ago"))
+	f = send(4, at.Add(2*time.Second))
+	end(f, at.Add(2*time.Second), 0)
+	c.Check(send(5, at.Add(3*time.Second)).RateLimit, qt.Equals, 0.0)
+}
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -31,6 +31,9 @@
 	FirstUse bool
 	// Rules is the version of the rules that the entry used for the attempt.
 	Rules view.Version
+	// RateLimit is the limit of the backend server in requests per second that the entry knows
+	// from earlier responses, or 0.
+	RateLimit float64
 }
 
 // Time returns the time of the event.
@@ -151,6 +154,27 @@
 	Slow int
 }
 
+// Announcement is what a backend server announces about itself in a response.
+type Announcement struct {
+	// RateLimit is the number of requests per second that it takes, if IsLimited is set.
+	RateLimit float64
+	IsLimited bool
+	// Malformed is the text of a limit that cannot be parsed, or empty.
+	Malformed string
+}
+
+// ServerAnnounced reports the announcement in the header of a response of the local backend
+// server.
+type ServerAnnounced struct {
+	At time.Time
+	// SentAt is the time at which the request was sent.
+	SentAt       time.Time
+	Announcement Announcement
+}
+
+// Time returns the time of the event.
+func (e ServerAnnounced) Time() time.Time { return e.At }
+
 // HealthChecked reports the result of a health check of the local backend server.
 type HealthChecked struct {
 	At    time.Time
@@ -161,6 +185,8 @@
 	ColdLeft time.Duration
 	// ServerLoad is the load report in the health check, or nil.
 	ServerLoad *ServerLoad
+	// Announcement is what the backend server announced in the response.
+	Announcement Announcement
 }
 
 // Time returns the time of the event.
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -15,6 +15,7 @@
 // Attempt admits, queues, holds or rejects an attempt that has arrived.
 func (g *Guard) Attempt(e event.Attempt, admission Admission, out []effect.Effect) []effect.Effect {
 	g.lastAttemptAt = e.At
+	g.quota.Suggest(e.RateLimit)
 	if reason := g.misaddressedReason(e.Ticket); reason != "" {
 		return appendRejection(e, effect.NotRun, reason, out)
 	}
@@ -131,6 +132,10 @@
 		// Attempts that are already queued may start before e, or e before them.
 		return g.startByDeadline(e.At, g.enqueue(e, out))
 	}
+	timeout := min(g.limits.QueueTimeout, e.TimeLeft)
+	if g.quota.Wait(e.At, g.priorityQueue.Len()) > timeout {
+		return g.reject(e, effect.ReasonOverloaded, out)
+	}
 	if !e.Idempotent {
 		g.recordAccepted(e)
 	}
@@ -142,7 +147,7 @@
 	if hasRejected && rejected == e.Arrival {
 		return out
 	}
-	return append(out, effect.StartQueueTimer{Arrival: e.Arrival, Timeout: min(g.limits.QueueTimeout, e.TimeLeft)})
+	return append(out, effect.StartQueueTimer{Arrival: e.Arrival, Timeout: timeout})
 }
 
 // run sends e to the backend server.
@@ -203,7 +208,8 @@
 	}
 }
 
-// Tick runs queued attempts that the cold start rate allows by now.
+// Tick runs queued attempts that the cold start rate and the limit of the backend server allow
+// by now.
 func (g *Guard) Tick(at time.Time, out []effect.Effect) []effect.Effect {
 	return g.startQueued(at, out)
 }
--- a/core/guard/decisions.go
+++ b/core/guard/decisions.go
@@ -38,9 +38,12 @@
 	})
 }
 
+// milli is the number of thousandths in one.
+const milli = 1000
+
 // facts returns the inputs of the decision on e.
 func (g *Guard) facts(e event.Attempt, now time.Time) []effect.Fact {
-	facts := make([]effect.Fact, 0, 13)
+	facts := make([]effect.Fact, 0, 14)
 	facts = append(facts,
 		effect.Fact{Key: "busy", Value: int64(len(g.inFlight))},
 		effect.Fact{Key: "foreign", Value: int64(g.foreign)},
@@ -57,6 +60,9 @@
 	if left := g.slowPeriod.Remaining(now); left > 0 {
 		facts = append(facts, effect.Fact{Key: "spell_us", Value: left.Microseconds()})
 	}
+	if rate, ok := g.quota.Rate(); ok {
+		facts = append(facts, effect.Fact{Key: "quota_milli", Value: int64(rate * milli)})
+	}
 	if g.isCold(now) {
 		facts = append(facts, effect.Fact{Key: "cold", Value: 1})
 	}
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -23,6 +23,7 @@
 	"bulrushlock/core/noisy"
 	"bulrushlock/core/pacer"
 	"bulrushlock/core/queue"
+	"bulrushlock/core/quota"
 	"bulrushlock/core/ramp"
 	"bulrushlock/core/report"
 	"bulrushlock/core/rules"
@@ -112,6 +113,10 @@
 	reportedCold bool
 	// pacer limits the rate of starts on a cold backend server whose rate is configured.
 	pacer *pacer.Pacer
+	// quota limits the rate of starts while the backend server states a limit.
+	quota *quota.Quota
+	// announcementLoggedAt is the time of the last log line on an announcement.
+	announcementLoggedAt time.Time
 	// listed is this instance's record in the instance list.
 	listed fleet.Instance
 	// incarnation is the incarnation of the backend server at the last health check.
@@ -160,6 +165,7 @@
 		waiters:       make(map[uint64]event.Attempt),
 		cold:          true,
 		pacer:         pacer.New(),
+		quota:         quota.New(),
 		deadlineQueue: sched.New[uint64](0),
 		slowPeriod:    noisy.New(),
 		serviceTimes:  timing.New(),
@@ -211,6 +217,7 @@
 
 // Load returns the load report that is attached to responses.
 func (g *Guard) Load(now time.Time) report.Load {
+	rate, _ := g.quota.Rate()
 	return report.Load{
 		InFlight: g.running(),
 		Queued:   g.priorityQueue.Len() + g.deadlineQueue.Len(),
@@ -221,6 +228,8 @@
 		Ill:      g.isUnhealthy(now),
 		Blank:    g.limits.Name == "",
 		Leaving:  g.leaving || g.draining,
+
+		RateLimit: rate,
 	}
 }
 
@@ -270,17 +279,18 @@
 	return min(g.limit.Limit(), g.ramp.Limit())
 }
 
-// mayStart reports whether the cold start rate allows another attempt to begin now,
-// and counts the start if it does. An attempt that will be late in any case may use only
-// capacity that is not needed by attempts that can still be on time.
+// mayStart reports whether the cold start rate and the limit that the backend server states
+// allow another attempt to begin now, and counts the start if they do. An attempt that will be
+// late in any case may use only capacity that is not needed by attempts that can still be on
+// time.
 func (g *Guard) mayStart(now time.Time, isLate bool) bool {
-	if !g.isPaced() {
-		return true
+	if g.quota.Wait(now, 0) > 0 || isLate && !g.quota.HasSpareCapacity(now) {
+		return false
 	}
-	if isLate && !g.pacer.HasSpareCapacity(now) {
+	if g.isPaced() && (isLate && !g.pacer.HasSpareCapacity(now) || !g.pacer.Take(now)) {
 		return false
 	}
-	return g.pacer.Take(now)
+	return g.quota.Take(now)
 }
 
 // running returns the number of requests on the backend server.
--- a/core/guard/health.go
+++ b/core/guard/health.go
@@ -23,6 +23,7 @@
 		g.incarnation = e.Incarnation
 	}
 	g.updateServerLoad(e.At, e.ServerLoad)
+	out = g.applyAnnouncement(e.At, e.At, true, e.Announcement, out)
 	if g.draining {
 		return g.rejectWaiting(effect.ReasonLeaving, out)
 	}
--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -33,6 +33,12 @@
 	slow  func(now time.Time) int
 	// speedFixedAtStart means that an attempt keeps the speed at which it began.
 	speedFixedAtStart bool
+	// announced is what the backend server announces in its responses to requests, and
+	// rateLimit the limit that entries send with attempts.
+	announced event.Announcement
+	rateLimit float64
+	// starts holds the times at which attempts were admitted, in order.
+	starts []time.Time
 
 	inTime, late, rejected int
 	// decisions are the logged decisions.
@@ -72,7 +78,7 @@
 	r.next++
 	r.began[r.next], r.class[r.next] = r.now, class
 	r.run(r.guard.Attempt(event.Attempt{
-		At: r.now, Arrival: r.next, Idempotent: true, Priority: priority, Class: class, TimeLeft: 3 * time.Second, TargetLeft: target,
+		At: r.now, Arrival: r.next, Idempotent: true, Priority: priority, Class: class, TimeLeft: 3 * time.Second, TargetLeft: target, RateLimit: r.rateLimit,
 		Ticket: ticket.Ticket{Entry: ticket.NodeID{Instance: "e"}, Sequence: r.next, Guard: self, Service: "ledger"},
 	}, guard.Admission{}, nil))
 }
@@ -88,6 +94,7 @@
 				r.remaining[e.Arrival] *= time.Duration(r.slow(r.now)) / 100
 			}
 			r.admitted[e.Arrival] = r.now
+			r.starts = append(r.starts, r.now)
 			r.maxRunning = max(r.maxRunning, len(r.remaining))
 		case effect.Decision:
 			r.decisions = append(r.decisions, e)
@@ -137,6 +144,9 @@
 		} else {
 			r.late++
 		}
+		if r.announced != (event.Announcement{}) {
+			r.run(r.guard.ServerAnnounced(event.ServerAnnounced{At: r.now, SentAt: r.admitted[a], Announcement: r.announced}, nil))
+		}
 		r.run(r.guard.ExchangeEnded(event.ExchangeEnded{At: r.now, Arrival: a, Status: 200, Latency: r.now.Sub(r.admitted[a])}, nil))
 	}
 }
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -68,6 +68,7 @@
 	if g.running()+ahead < concurrencyLimit {
 		wait = 0
 	}
+	wait = max(wait, g.quota.Wait(now, ahead))
 	if !g.isPaced() {
 		return wait
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -121,7 +121,7 @@
 	switch e := e.(type) {
 	case event.Request, event.AttemptEnded, event.OutcomeReported, event.HedgeDelayPassed, event.RequestEnded, event.LoadReported, event.CandidatesProbed:
 		out = n.stepEntry(e, out)
-	case event.Attempt, event.SenderDisconnected, event.QueueTimedOut, event.ExchangeEnded, event.OutcomeQueried, event.HealthChecked, event.LoadRequested:
+	case event.Attempt, event.SenderDisconnected, event.QueueTimedOut, event.ExchangeEnded, event.OutcomeQueried, event.HealthChecked, event.ServerAnnounced, event.LoadRequested:
 		out = n.stepGuard(e, out)
 	case event.DocumentRead, event.DocumentUnchanged, event.DocumentReadFailed, event.VersionsReceived, event.PeerUnreachable:
 		out = n.stepGossip(e, out)
@@ -227,6 +227,8 @@
 		return n.guard.OutcomeQueried(e, out)
 	case event.HealthChecked:
 		return n.guard.HealthChecked(e, out)
+	case event.ServerAnnounced:
+		return n.guard.ServerAnnounced(e, out)
 	case event.LoadRequested:
 		refused := !n.inboundProbes.Take(e.At, 1)
 		return append(out, effect.ReportLoad{Query: e.Query, Load: n.guard.Load(e.At), Refused: refused})
--- a/core/report/load.go
+++ b/core/report/load.go
@@ -37,6 +37,9 @@
 	Blank bool
 	// Leaving is set if the guard accepts no new work.
 	Leaving bool
+	// RateLimit is the limit of the backend server in requests per second, or 0 if it states
+	// none. The text form does not contain it.
+	RateLimit float64
 }
 
 // slowPrefix precedes the value of Slow in the text form.
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -204,6 +204,7 @@
 		Key:           e.Key,
 		First:         e.FirstUse,
 		Versions:      e.Versions,
+		RateLimit:     e.RateLimit,
 	}
 }
 
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -56,6 +57,9 @@
 	loop    *loop.Loop
 	options Options
 	origin  string
+	// announced is set after the first announcement of the backend server. From then on, the
+	// guard is told of every response.
+	announced atomic.Bool
 }
 
 var (
@@ -118,6 +122,7 @@
 		Key:        attempt.Key,
 		FirstUse:   attempt.First,
 		Rules:      attempt.Versions.Rules,
+		RateLimit:  attempt.RateLimit,
 	})
 	response := ah.awaitDecision(ctx)
 	if response.Body == nil {
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -284,10 +284,11 @@
 		proto.HeaderCall:     o.Call.String(),
 		proto.HeaderVersions: proto.FormatVersions(o.Versions),
 		proto.HeaderAttempt:  proto.FormatAttempt(o),
+		proto.HeaderQuota:    proto.FormatQuota(o.RateLimit),
 	}
 	for name := range good {
 		for _, value := range []string{"", "x"} {
-			if name == proto.HeaderCall && value == "" {
+			if (name == proto.HeaderCall || name == proto.HeaderQuota) && value == "" {
 				continue
 			}
 			r := httptest.NewRequest(http.MethodPost, "/claims", bytes.NewReader(nil))
@@ -301,3 +302,30 @@
 		}
 	}
 }
+
+// limitDialect is a dialect in which each response states the same limit.
+type limitDialect struct{ proto.Plain }
+
+// ParseResponse returns a limit of four requests per second.
+func (limitDialect) ParseResponse(int, http.Header) proto.ResponseInfo {
+	return proto.ResponseInfo{Announcement: event.Announcement{RateLimit: 4, IsLimited: true}}
+}
+
+// The entry must learn of a limit with the response that states it, also while its body is still
+// being sent.
+func TestLimitIsReportedWithTheResponseThatStatesIt(t *testing.T) {
+	c := qt.New(t)
+	s := startRawServer(c, func(_ int32, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
+	})
+	g, l := newGate(c, s.Addr())
+	g.options.Dialect = limitDialect{}
+	export := newClaim("")
+	export.Idempotent = true
+	a, err := g.Exchange(context.Background(), export)
+	c.Assert(err, qt.IsNil)
+	c.Check(a.Load.RateLimit, qt.Equals, 4.0)
+	load, _ := l.LoadReport()
+	c.Check(load.RateLimit, qt.Equals, 4.0)
+	c.Assert(a.Body.Close(), qt.IsNil)
+}
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -51,6 +51,9 @@
 	if attempt.Versions, err = proto.ParseVersions(r.Header.Get(proto.HeaderVersions)); err != nil {
 		return attempt, err
 	}
+	if attempt.RateLimit, err = proto.ParseQuota(r.Header.Get(proto.HeaderQuota)); err != nil {
+		return attempt, err
+	}
 	return attempt, proto.ParseAttempt(r.Header.Get(proto.HeaderAttempt), &attempt)
 }
 
@@ -103,5 +106,8 @@
 func setLoad(h http.Header, l *report.Load) {
 	if l != nil {
 		h.Set(proto.HeaderLoad, l.String())
+		if l.RateLimit > 0 {
+			h.Set(proto.HeaderQuota, proto.FormatQuota(l.RateLimit))
+		}
 	}
 }
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -37,6 +37,7 @@
 		return ah.handleExchangeError(ctx, err, spent)
 	}
 	info := ah.gate.options.Dialect.ParseResponse(r.StatusCode, r.Header)
+	ah.gate.reportAnnouncement(began, info.Announcement)
 	if f := rejectionOf(e, info, r.StatusCode); f != event.None {
 		// The rest of the rejection is short. Reading it lets the connection be
 		// reused.
@@ -54,6 +55,17 @@
 	return ah.newResponse(r, s)
 }
 
+// reportAnnouncement reports to the guard what the backend server announced in its response to a
+// request sent at sentAt.
+func (g *Gate) reportAnnouncement(sentAt time.Time, a event.Announcement) {
+	if a != (event.Announcement{}) {
+		g.announced.Store(true)
+	}
+	if g.announced.Load() {
+		g.loop.Process(event.ServerAnnounced{At: time.Now(), SentAt: sentAt, Announcement: a})
+	}
+}
+
 // maxDiscardedBody is the size in bytes up to which the body of a rejection is
 // read.
 const maxDiscardedBody = 4 << 10
--- a/io/health/health.go
+++ b/io/health/health.go
@@ -19,6 +19,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"bulrushlock/core/event"
 )
 
 // maxResponseSize is the size in bytes of the largest response of a health or load endpoint.
@@ -74,6 +76,8 @@
 	Incarnation string
 	// ColdLeft is the remaining time of the cold start, if reported.
 	ColdLeft time.Duration
+	// Announcement is what the backend server announced about itself.
+	Announcement event.Announcement
 }
 
 // Checker checks the health of one backend server.
--- a/io/proto/dialect.go
+++ b/io/proto/dialect.go
@@ -58,6 +58,8 @@
 	WrongIncarnation bool
 	// ServerLoad is the load that the backend server reported, or nil.
 	ServerLoad *event.ServerLoad
+	// Announcement is what the backend server announced about itself.
+	Announcement event.Announcement
 }
 
 // Plain is the native dialect.
--- a/io/proto/header.go
+++ b/io/proto/header.go
@@ -12,6 +12,7 @@
 	HeaderOutcome  = HeaderPrefix + "Outcome"
 	HeaderReason   = HeaderPrefix + "Reason"
 	HeaderLoad     = HeaderPrefix + "Load"
+	HeaderQuota    = HeaderPrefix + "Quota"
 	HeaderGuard    = HeaderPrefix + "Guard"
 	HeaderVersions = HeaderPrefix + "Versions"
 	HeaderAttempt  = HeaderPrefix + "Attempt"
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -58,6 +58,9 @@
 	Key      string
 	First    bool
 	Versions event.Versions
+	// RateLimit is the limit of the backend server in requests per second that the entry knows
+	// from earlier responses, or 0.
+	RateLimit float64
 }
 
 // Response is the response of a guard to an attempt. The caller must close Body.
--- a/io/proto/text.go
+++ b/io/proto/text.go
@@ -83,6 +83,22 @@
 	return ticket.NodeID{Instance: name, Incarnation: n}, nil
 }
 
+// FormatQuota formats the limit of a backend server, in requests per second, as a header value.
+func FormatQuota(rate float64) string { return strconv.FormatFloat(rate, 'g', -1, 64) }
+
+// ParseQuota parses the output of FormatQuota. An empty text means that there is no limit, which
+// is 0. It returns a *HeaderError if the text is invalid.
+func ParseQuota(text string) (float64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, &HeaderError{Name: HeaderQuota, Text: text}
+	}
+	return rate, nil
+}
+
 // FormatAttempt formats the fields of attempt that share the attempt header.
 func FormatAttempt(attempt Attempt) string {
 	b := make([]byte, 0, 64)
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -114,6 +114,9 @@
 	r.Header.Set(proto.HeaderAttempt, proto.FormatAttempt(attempt))
 	r.Header.Set(proto.HeaderClock, e.loop.Stamp())
 	r.Header.Set(proto.HeaderID, attempt.Name)
+	if attempt.RateLimit > 0 {
+		r.Header.Set(proto.HeaderQuota, proto.FormatQuota(attempt.RateLimit))
+	}
 	if attempt.Key != "" {
 		r.Header.Set(proto.HeaderPrefix+"Key", attempt.Key)
 	}
@@ -146,6 +149,9 @@
 		result.Guard = n
 	}
 	if load, err := report.Parse(r.Header.Get(proto.HeaderLoad)); err == nil {
+		if load.RateLimit, err = proto.ParseQuota(r.Header.Get(proto.HeaderQuota)); err != nil {
+			return proto.Response{}, err
+		}
 		result.Load = &load
 	}
 	if v, err := proto.ParseVersions(r.Header.Get(proto.HeaderVersions)); err == nil {
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -184,3 +184,33 @@
 	c.Check(h.Get("X-Kept"), qt.Equals, "1")
 	c.Check(h.Get("X-Drop")+h.Get("Bulrushlock-Load"), qt.Equals, "")
 }
+
+// The limit of a backend server travels in both directions, and one that cannot be parsed is
+// taken for a broken response.
+func TestLimitOfServerIsExchanged(t *testing.T) {
+	tests := []struct {
+		text string
+		want float64
+		ok   bool
+	}{{"", 0, true}, {"3.3", 3.3, true}, {"1e+06", 1e6, true}, {"-1", 0, false}, {"NaN", 0, false}, {"x", 0, false}}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			c := qt.New(t)
+			sent := make(chan string, 1)
+			address, _ := startGuard(c, func(_ int32, r *http.Request, conn net.Conn) {
+				sent <- r.Header.Get(proto.HeaderQuota)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: run\r\n%s: 1/0/7\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+					proto.HeaderTicket, r.Header.Get(proto.HeaderTicket), proto.HeaderOutcome, proto.HeaderLoad, proto.HeaderQuota, tt.text)
+			})
+			claim := newClaim(address, "")
+			claim.RateLimit = 0.25
+			a, err := newExchanger(c).Exchange(context.Background(), claim)
+			c.Check(<-sent, qt.Equals, "0.25")
+			c.Assert(err == nil, qt.Equals, tt.ok)
+			if tt.ok {
+				c.Check(a.Load.RateLimit, qt.Equals, tt.want)
+				c.Assert(a.Body.Close(), qt.IsNil)
+			}
+		})
+	}
+}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -287,7 +287,7 @@
 
 // healthChecked returns the event that reports the result of a health check.
 func healthChecked(s health.Result, err error) event.HealthChecked {
-	e := event.HealthChecked{At: time.Now(), State: serverState(s, err), Incarnation: s.Incarnation, ColdLeft: s.ColdLeft}
+	e := event.HealthChecked{At: time.Now(), State: serverState(s, err), Incarnation: s.Incarnation, ColdLeft: s.ColdLeft, Announcement: s.Announcement}
 	if err == nil && s.Slots > 0 {
 		e.ServerLoad = &event.ServerLoad{Busy: s.Running, Queued: s.Queued, Slots: s.Slots, Slow: s.SlowPercent}
 	}
