fix(core/guard): a backend server that announces its departure in responses gets nothing more

A backend server that never registers as draining, and whose health check fails without a reason, was used until it was gone.

Cause: the announcement was read nowhere. The guard now closes when it gets it. As a guard that restarts has forgotten it, entries that have passed such a response on remember it, and the word of a guard that has restarted since does not count against it.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -269,6 +269,7 @@
 	KindCold         Kind = "cold"
 	KindWarm         Kind = "warm"
 	KindQuota        Kind = "quota"
+	KindEnding       Kind = "ending"
 	KindOutOfService Kind = "out"
 	KindInService    Kind = "back"
 	KindLeave        Kind = "leave"
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -182,7 +182,7 @@
 			p = &peer{}
 		}
 		if p.instance.Incarnation != i.Incarnation {
-			p.rateLimit = 0
+			p.rateLimit, p.ending = 0, false
 		}
 		p.instance = i
 		peers[i.Name] = p
@@ -222,6 +222,9 @@
 	n.SetIncarnation(e.Guard)
 	if p, ok := n.peers[e.Guard.Instance]; ok {
 		p.recordLoad(e.Load, e.At)
+		if !e.Load.Leaving {
+			p.updateEnding(e.Guard.Incarnation, false, e.At)
+		}
 	}
 }
 
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -39,6 +39,11 @@
 	// reported with the last response, or 0. rateLimitAt is the time of that response.
 	rateLimit   float64
 	rateLimitAt time.Time
+	// ending means that the backend server has announced that it is leaving. endingGuard is the
+	// incarnation of the guard that reported it, at the time endingAt.
+	ending      bool
+	endingGuard uint64
+	endingAt    time.Time
 	// probedAt is the time at which this entry last probed the peer after a failure.
 	probedAt time.Time
 }
@@ -64,15 +69,41 @@
 	}
 }
 
-// isLeaving reports whether the guard has recently reported that it accepts no new work.
+// isLeaving reports whether the guard has recently reported that it accepts no new work, or
+// the backend server has announced that it is leaving.
 func (p *peer) isLeaving(now time.Time) bool {
-	return p.load.Leaving && now.Sub(p.reportedAt) < leavingTTL
+	return p.isEnding(now) || p.load.Leaving && now.Sub(p.reportedAt) < leavingTTL
+}
+
+// isEnding reports whether the backend server has announced that it is leaving.
+func (p *peer) isEnding(now time.Time) bool { return p.ending && now.Sub(p.endingAt) < endingTTL }
+
+// needsEndingProbe reports whether a load probe is due that can show whether another incarnation
+// of a backend server that was leaving has started.
+func (p *peer) needsEndingProbe(now time.Time) bool {
+	return p.isEnding(now) && now.Sub(p.reportedAt) > probeDelay
+}
+
+// updateEnding records whether a guard reports that its backend server is leaving. That it is not
+// counts only from the guard that reported the opposite: one that has restarted since does not
+// know.
+func (p *peer) updateEnding(guard uint64, isEnding bool, at time.Time) {
+	switch {
+	case isEnding:
+		p.ending, p.endingGuard, p.endingAt = true, guard, at
+	case guard == p.endingGuard:
+		p.ending = false
+	}
 }
 
 // announcementTTL is the time for which this entry remembers what a backend server announced in
 // its responses.
 const announcementTTL = 10 * time.Second
 
+// endingTTL is the time after which a backend server that was leaving is used again if its guard
+// has restarted and cannot tell.
+const endingTTL = time.Minute
+
 // knownRateLimit returns the limit of the backend server in requests per second, or 0 if none is
 // known.
 func (p *peer) knownRateLimit(now time.Time) float64 {
@@ -87,6 +118,7 @@
 	if e.Load != nil {
 		p.recordLoad(*e.Load, e.At)
 		p.rateLimit, p.rateLimitAt = e.Load.RateLimit, e.At
+		p.updateEnding(e.Guard.Incarnation, e.Load.Ending, e.At)
 	}
 	if e.Guard.Instance == p.instance.Name && e.Guard.Incarnation != 0 {
 		p.incarnation = e.Guard.Incarnation
--- a/core/entry/response.go
+++ b/core/entry/response.go
@@ -142,7 +142,7 @@
 	if len(req.activeTickets) > 0 {
 		return out
 	}
-	if effect.Reason(e.Reason) == effect.ReasonIncarnation && req.incarnationRetries < maxIncarnationRetries && !req.bodySent {
+	if effect.Reason(e.Reason) == effect.ReasonIncarnation && req.incarnationRetries < maxIncarnationRetries && !req.bodySent && !n.isEnding(e) {
 		return n.resendToIncarnation(req, e, out)
 	}
 	reason := effect.Reason(e.Reason)
@@ -156,6 +156,13 @@
 	return n.reply(e.At, req, effect.NotRun, reason, out)
 }
 
+// isEnding reports whether the backend server of the guard that ended an attempt has announced
+// that it is leaving.
+func (n *Entry) isEnding(e event.AttemptEnded) bool {
+	p, ok := n.peers[e.Ticket.Guard.Instance]
+	return ok && p.isEnding(e.At)
+}
+
 // resendToIncarnation resends req to a guard that rejected it because the ticket names
 // another incarnation.
 func (n *Entry) resendToIncarnation(req *request, e event.AttemptEnded, out []effect.Effect) []effect.Effect {
--- a/core/entry/target.go
+++ b/core/entry/target.go
@@ -29,7 +29,7 @@
 			if len(targets) == n.config.ProbeCount {
 				return targets
 			}
-			if req.hasTried(p.instance.Name) || p.isLeaving(now) {
+			if req.hasTried(p.instance.Name) || p.isLeaving(now) && !p.needsEndingProbe(now) {
 				continue
 			}
 			if now.Sub(p.reportedAt) > freshLoadAge {
--- a/core/entry/target_test.go
+++ b/core/entry/target_test.go
@@ -35,6 +35,12 @@
 	set, err := rules.Parse(probeRules)
 	c.Assert(err, qt.IsNil)
 	n := entry.New(entry.Config{Node: ticket.NodeID{Instance: "near-0", Incarnation: 1}, Centre: "near", ProbeCount: 3}, pick.NewLoadAware())
+	n.SetRules(set, probedInstances())
+	return n
+}
+
+// probedInstances returns the instances that such an entry knows.
+func probedInstances() []fleet.Instance {
 	var instances []fleet.Instance
 	add := func(name, centre, service string) {
 		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(instances) + 1)}), 1)
@@ -45,8 +51,7 @@
 		add(fmt.Sprintf("far-%d", i), "far", "ledger")
 	}
 	add("old-0", "near", "archive")
-	n.SetRules(set, instances)
-	return n
+	return instances
 }
 
 // getRequest returns a GET request for the given path.
@@ -384,3 +389,72 @@
 	end(f, at.Add(2*time.Second), 0)
 	c.Check(send(5, at.Add(3*time.Second)).RateLimit, qt.Equals, 0.0)
 }
+
+// A backend server that has announced that it is leaving gets no further request from an entry
+// that has passed on such a response, also if the guard has restarted and does not know.
+func TestLeavingServerIsNotSelectedAfterRestartOfItsGuard(t *testing.T) {
+	const ended, restarted = 5, 6
+	near1 := func(at time.Time, incarnation uint64, l report.Load) event.LoadReported {
+		return event.LoadReported{At: at, Guard: ticket.NodeID{Instance: "near-1", Incarnation: incarnation}, Load: l}
+	}
+	idle, busy := report.Load{Limit: 7, Slow: 100}, report.Load{Limit: 7, Slow: 1000}
+	tests := []struct {
+		name        string
+		incarnation uint64
+		load        report.Load
+		after       time.Duration
+		relist      bool
+		want        bool
+	}{
+		{name: "guard that still says so", incarnation: ended, load: report.Load{Limit: 7, Slow: 100, Leaving: true}, after: time.Second},
+		{name: "guard that has restarted", incarnation: restarted, load: idle, after: time.Second},
+		{name: "guard of a backend server that was started again", incarnation: ended, load: idle, after: time.Second, want: true},
+		{name: "other incarnation in the instance list", incarnation: restarted, load: idle, after: time.Second, relist: true, want: true},
+		{name: "long ago", incarnation: restarted, load: idle, after: 2 * time.Minute, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newProbingEntry(c)
+			at := now.Add(time.Minute)
+			// target returns the guard that gets a request if near-1 reports the given load.
+			target := func(id uint64, incarnation uint64, l report.Load) effect.Forward {
+				s := findEffect[effect.ProbeCandidates](c, n.Request(getRequest(id, "/lines", at, 3*time.Second), nil))
+				loads := append(reportLoads(at, s.Peers, busy), near1(at, incarnation, l))
+				return findEffect[effect.Forward](c, n.CandidatesProbed(event.CandidatesProbed{At: at, ID: s.ID, Loads: loads}, nil))
+			}
+			f := target(1, ended, idle)
+			c.Assert(f.Peer.Name, qt.Equals, "near-1")
+			n.AttemptEnded(event.AttemptEnded{
+				At: at, ID: f.ID, Ticket: f.Ticket, Verdict: event.Ran, Status: 200,
+				Guard: ticket.NodeID{Instance: "near-1", Incarnation: ended}, Load: &report.Load{Limit: 7, Slow: 100, Leaving: true, Ending: true},
+			}, nil)
+			at = at.Add(tt.after)
+			if tt.relist {
+				set, err := rules.Parse(probeRules)
+				c.Assert(err, qt.IsNil)
+				instances := probedInstances()
+				for i := range instances {
+					if instances[i].Name == "near-1" {
+						instances[i].Incarnation = "other"
+					}
+				}
+				n.SetRules(set, instances)
+			}
+			c.Check(target(2, tt.incarnation, tt.load).Peer.Name == "near-1", qt.Equals, tt.want)
+		})
+	}
+}
+
+// An attempt that a restarted guard rejects goes to another backend server if its own is leaving.
+func TestAttemptIsNotResentToLeavingServer(t *testing.T) {
+	c := qt.New(t)
+	n := newProbingEntry(c)
+	s := findEffect[effect.ProbeCandidates](c, n.Request(getRequest(1, "/lines", now, 3*time.Second), nil))
+	f := findEffect[effect.Forward](c, n.CandidatesProbed(event.CandidatesProbed{At: now, ID: s.ID, Loads: reportLoads(now, s.Peers, report.Load{Limit: 7, Slow: 100})}, nil))
+	again := findEffect[effect.Forward](c, n.AttemptEnded(event.AttemptEnded{
+		At: now, ID: f.ID, Ticket: f.Ticket, Verdict: event.NotRun, Reason: string(effect.ReasonIncarnation),
+		Guard: ticket.NodeID{Instance: f.Peer.Name, Incarnation: 9}, Load: &report.Load{Limit: 7, Leaving: true, Ending: true},
+	}, nil))
+	c.Check(again.Peer.Name, qt.Not(qt.Equals), f.Peer.Name)
+}
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -159,7 +159,9 @@
 	// RateLimit is the number of requests per second that it takes, if IsLimited is set.
 	RateLimit float64
 	IsLimited bool
-	// Malformed is the text of a limit that cannot be parsed, or empty.
+	// Leaving means that it is about to end and takes no new requests.
+	Leaving bool
+	// Malformed is the text of an announcement that cannot be parsed, or empty.
 	Malformed string
 }
 
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -62,7 +62,7 @@
 // closeReason returns the reason why the guard accepts no new work, or "" if it does.
 func (g *Guard) closeReason(admission Admission) effect.Reason {
 	switch {
-	case g.leaving, g.draining:
+	case g.leaving, g.draining, g.departure.announced:
 		return effect.ReasonLeaving
 	case admission.CloseReason != "":
 		return admission.CloseReason
@@ -288,6 +288,7 @@
 	switch e.Failure {
 	case event.Refused:
 		g.down = true
+		g.departure.wasUnreachable = true
 		out = appendRejection(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonServer, out)
 		return g.MarkCold("connection refused", out)
 	case event.Reset:
--- a/core/guard/announce.go
+++ b/core/guard/announce.go
@@ -12,18 +12,50 @@
 // is passed on.
 func (g *Guard) ServerAnnounced(e event.ServerAnnounced, out []effect.Effect) []effect.Effect {
 	out = g.applyAnnouncement(e.At, e.SentAt, false, e.Announcement, out)
+	if g.departure.announced {
+		return g.rejectWaiting(effect.ReasonLeaving, out)
+	}
 	return g.startQueued(e.At, out)
 }
 
-// applyAnnouncement adopts the limit that the backend server states in the response to a request
-// sent at sentAt. A limit that cannot be parsed changes nothing.
+// departure is the state of a backend server that may be about to end.
+type departure struct {
+	// announced is set from the announcement that it is leaving until another incarnation
+	// responds.
+	announced bool
+	// inHealthChecks means that its responses to health checks have the announcement.
+	inHealthChecks bool
+	// incarnation is the incarnation that made the announcement, or empty if it is unknown.
+	incarnation string
+	// wasUnreachable means that the backend server was unreachable since the announcement.
+	wasUnreachable bool
+}
+
+// update records a response of the given incarnation.
+func (d *departure) update(isLeaving, isHealthCheck bool, incarnation string) {
+	switch {
+	case isLeaving:
+		*d = departure{announced: true, inHealthChecks: d.inHealthChecks || isHealthCheck, incarnation: incarnation}
+	case isHealthCheck && (d.inHealthChecks || d.wasUnreachable || incarnation != d.incarnation):
+		// The address may have gone to another backend server, or it was started again.
+		*d = departure{}
+	}
+}
+
+// applyAnnouncement adopts what the backend server announces in the response to a request
+// sent at sentAt. An announcement that cannot be parsed changes nothing.
 func (g *Guard) applyAnnouncement(at, sentAt time.Time, isHealthCheck bool, a event.Announcement, out []effect.Effect) []effect.Effect {
 	if a.Malformed != "" {
-		out = g.logAnnouncement(at, effect.KindInvalid, fmt.Sprintf("limit of the backend server: %q", a.Malformed), out)
-		if !a.IsLimited {
+		out = g.logAnnouncement(at, effect.KindInvalid, fmt.Sprintf("announcement of the backend server: %q", a.Malformed), out)
+		if !a.IsLimited && !a.Leaving {
 			return out
 		}
 	}
+	wasLeaving := g.departure.announced
+	g.departure.update(a.Leaving, isHealthCheck, g.incarnation)
+	if isLeaving := g.departure.announced; isLeaving != wasLeaving {
+		out = append(out, effect.LogEvent{Kind: effect.KindEnding, Text: departureText(isLeaving)})
+	}
 	before, wasLimited := g.quota.Rate()
 	g.quota.Observe(at, sentAt, isHealthCheck, a.RateLimit, a.IsLimited)
 	rate, isLimited := g.quota.Rate()
@@ -36,6 +68,14 @@
 	return out
 }
 
+// departureText returns the log text for the start or the end of an announced departure.
+func departureText(isLeaving bool) string {
+	if isLeaving {
+		return "the backend server announces that it is leaving"
+	}
+	return "another incarnation of the backend server responds"
+}
+
 // announcementLogInterval is the minimum time between two log lines on announcements, which may
 // change with each response.
 const announcementLogInterval = time.Second
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -115,6 +115,8 @@
 	pacer *pacer.Pacer
 	// quota limits the rate of starts while the backend server states a limit.
 	quota *quota.Quota
+	// departure tells whether the backend server has announced that it is leaving.
+	departure departure
 	// announcementLoggedAt is the time of the last log line on an announcement.
 	announcementLoggedAt time.Time
 	// listed is this instance's record in the instance list.
@@ -227,9 +229,10 @@
 		Cold:     g.isCold(now),
 		Ill:      g.isUnhealthy(now),
 		Blank:    g.limits.Name == "",
-		Leaving:  g.leaving || g.draining,
+		Leaving:  g.leaving || g.draining || g.departure.announced,
 
 		RateLimit: rate,
+		Ending:    g.departure.announced,
 	}
 }
 
--- a/core/guard/health.go
+++ b/core/guard/health.go
@@ -12,6 +12,7 @@
 // itself warm does not end the warm-up ramp.
 func (g *Guard) HealthChecked(e event.HealthChecked, out []effect.Effect) []effect.Effect {
 	if e.State == event.Unreachable {
+		g.departure.wasUnreachable = true
 		out = g.MarkCold("no response to the health check", out)
 		return g.startQueued(e.At, out)
 	}
@@ -24,7 +25,7 @@
 	}
 	g.updateServerLoad(e.At, e.ServerLoad)
 	out = g.applyAnnouncement(e.At, e.At, true, e.Announcement, out)
-	if g.draining {
+	if g.draining || g.departure.announced {
 		return g.rejectWaiting(effect.ReasonLeaving, out)
 	}
 	out = g.applyColdReport(e, out)
--- a/core/report/load.go
+++ b/core/report/load.go
@@ -40,6 +40,9 @@
 	// RateLimit is the limit of the backend server in requests per second, or 0 if it states
 	// none. The text form does not contain it.
 	RateLimit float64
+	// Ending is set if the backend server itself announced that it is leaving. The guard accepts
+	// no new work then. The text form does not contain it.
+	Ending bool
 }
 
 // slowPrefix precedes the value of Slow in the text form.
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -109,5 +109,8 @@
 		if l.RateLimit > 0 {
 			h.Set(proto.HeaderQuota, proto.FormatQuota(l.RateLimit))
 		}
+		if l.Ending {
+			h.Set(proto.HeaderEnding, proto.EndingValue)
+		}
 	}
 }
--- a/io/proto/text.go
+++ b/io/proto/text.go
@@ -83,6 +83,9 @@
 	return ticket.NodeID{Instance: name, Incarnation: n}, nil
 }
 
+// EndingValue is the value of HeaderEnding if the backend server has announced that it is leaving.
+const EndingValue = "yes"
+
 // FormatQuota formats the limit of a backend server, in requests per second, as a header value.
 func FormatQuota(rate float64) string { return strconv.FormatFloat(rate, 'g', -1, 64) }
 
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -152,6 +152,7 @@
 		if load.RateLimit, err = proto.ParseQuota(r.Header.Get(proto.HeaderQuota)); err != nil {
 			return proto.Response{}, err
 		}
+		load.Ending = r.Header.Get(proto.HeaderEnding) == proto.EndingValue
 		result.Load = &load
 	}
 	if v, err := proto.ParseVersions(r.Header.Get(proto.HeaderVersions)); err == nil {
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -185,6 +185,21 @@
 	c.Check(h.Get("X-Drop")+h.Get("Bulrushlock-Load"), qt.Equals, "")
 }
 
+// What a backend server announces reaches the entry with the guard's response.
+func TestAnnouncedDepartureIsReported(t *testing.T) {
+	for text, want := range map[string]bool{"": false, proto.EndingValue: true, "no": false} {
+		c := qt.New(t)
+		address, _ := startGuard(c, func(_ int32, r *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: run\r\n%s: 1/0/7\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+				proto.HeaderTicket, r.Header.Get(proto.HeaderTicket), proto.HeaderOutcome, proto.HeaderLoad, proto.HeaderEnding, text)
+		})
+		a, err := newExchanger(c).Exchange(context.Background(), newClaim(address, ""))
+		c.Assert(err, qt.IsNil)
+		c.Check(a.Load.Ending, qt.Equals, want, qt.Commentf("%q", text))
+		c.Assert(a.Body.Close(), qt.IsNil)
+	}
+}
+
 // The limit of a backend server travels in both directions, and one that cannot be parsed is
 // taken for a broken response.
 func TestLimitOfServerIsExchanged(t *testing.T) {
