fix(io/gate): a refusal that is sent once more is no promise about the next request

With an id, the copy was skipped.

Cause: responses without an id matched by their order on the connection, and a refusal among them was believed. Now no connection is used again after a refusal, so that a copy of it has no next request. On the users' platform, whose backend servers repeat the id in each response, a refusal without it is not believed: the outcome is unknown.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -44,6 +44,7 @@
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 	"bulrushlock/io/pool"
+	"bulrushlock/io/proto"
 	"bulrushlock/io/remote"
 	"bulrushlock/io/runner"
 	"bulrushlock/io/sock"
@@ -332,6 +333,9 @@
 		Match: func(r *http.Request, a *http.Response) bool {
 			return d.adapter.Dialect.Matches(r.Header, a.Header)
 		},
+		// A faulty backend server may send a refusal once more, which would then be taken for the
+		// response to the next request.
+		Reuse: func(a *http.Response) bool { return !proto.MayRefuse(d.adapter.Dialect, a) },
 	})
 }
 
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -56,10 +56,20 @@
 
 // newGate returns a gate for the backend server at the given address.
 func newGate(c *qt.C, address net.Addr) (*Gate, *loop.Loop) {
+	return newGateWithDialect(c, address, proto.Plain{})
+}
+
+// newGateWithDialect returns a gate for the backend server at the given address, which speaks
+// the given dialect.
+func newGateWithDialect(c *qt.C, address net.Addr, d proto.Dialect) (*Gate, *loop.Loop) {
 	l := newLoop(c)
-	transport := pool.New(&net.Dialer{}, pool.Options{MaxIdle: 8, IdleTimeout: time.Minute})
+	transport := pool.New(&net.Dialer{}, pool.Options{
+		MaxIdle: 8, IdleTimeout: time.Minute,
+		Match: func(r *http.Request, a *http.Response) bool { return d.Matches(r.Header, a.Header) },
+		Reuse: func(a *http.Response) bool { return !proto.MayRefuse(d, a) },
+	})
 	c.Cleanup(transport.Close)
-	return New(l, Options{Node: self, Server: netip.MustParseAddrPort(address.String()), Transport: transport}), l
+	return New(l, Options{Node: self, Server: netip.MustParseAddrPort(address.String()), Transport: transport, Dialect: d}), l
 }
 
 // sequence numbers the attempts of all tests.
@@ -329,3 +339,84 @@
 	c.Check(load.RateLimit, qt.Equals, 4.0)
 	c.Assert(a.Body.Close(), qt.IsNil)
 }
+
+// refusalDialect is a dialect in which the header Not-Run states that a request did not run, and
+// Id identifies the request of a response.
+type refusalDialect struct{ proto.Plain }
+
+// ParseResponse reads the header Not-Run.
+func (refusalDialect) ParseResponse(_ int, h http.Header) proto.ResponseInfo {
+	return proto.ResponseInfo{Declined: h.Get("Not-Run") != ""}
+}
+
+// Matches accepts responses without an id.
+func (refusalDialect) Matches(request, response http.Header) bool {
+	id := response.Get("Id")
+	return id == "" || id == request.Get("Id")
+}
+
+// Identifies accepts no response without an id.
+func (refusalDialect) Identifies(request, response http.Header) bool {
+	return response.Get("Id") == request.Get("Id")
+}
+
+// orderDialect is the same without ids.
+type orderDialect struct{ refusalDialect }
+
+// Identifies accepts every response, by its order on the connection.
+func (orderDialect) Identifies(http.Header, http.Header) bool { return true }
+
+// A refusal that a backend server has sent before, and sends once more on a kept connection, must
+// not be taken for the response to the request that runs there now.
+func TestRepeatedRefusalIsNoResponseToTheNextRequest(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + id + "Content-Length: 0\r\n\r\n"
+	}
+	tests := []struct {
+		name string
+		// first is the response to the first request, and repeated what is sent in front of
+		// the response to the second one.
+		first, repeated string
+		// byOrder selects a dialect whose responses have no ids.
+		byOrder bool
+		want    effect.Outcome
+	}{
+		{"refusal with id", refusal("Id: a\r\n"), refusal("Id: a\r\n"), false, effect.Run},
+		{"refusal without id", refusal(""), refusal(""), true, effect.Run},
+		{"refusal without id after a response", responseText("ok"), refusal(""), false, effect.Unknown},
+		{"refusal of a request on another connection", responseText("ok"), refusal("Id: other\r\n"), false, effect.Run},
+		{"refusal of this request", responseText("ok"), refusal("Id: b\r\n"), false, effect.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			var kept sync.Map
+			s := startRawServer(c, func(n int32, _ *http.Request, conn net.Conn) {
+				if n == 1 {
+					kept.Store(conn, true)
+					_, _ = io.WriteString(conn, tt.first)
+					return
+				}
+				text := responseText("ok")
+				if _, isKept := kept.Load(conn); isKept {
+					text = tt.repeated + text
+				}
+				_, _ = io.WriteString(conn, text)
+			})
+			var dialect proto.Dialect = refusalDialect{}
+			if tt.byOrder {
+				dialect = orderDialect{}
+			}
+			g, _ := newGateWithDialect(c, s.Addr(), dialect)
+			first := newClaim("claim")
+			first.Header = http.Header{"Id": {"a"}}
+			_, _, err := exchange(c, g, first)
+			c.Assert(err, qt.IsNil)
+			second := newClaim("claim")
+			second.Header = http.Header{"Id": {"b"}}
+			a, _, err := exchange(c, g, second)
+			c.Assert(err, qt.IsNil)
+			c.Check(a.Outcome, qt.Equals, tt.want)
+		})
+	}
+}
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -30,7 +30,8 @@
 	// reads it to its end. Other bodies are read after serve has returned.
 	defer overdue.Stop()
 	began := time.Now()
-	r, err := ah.gate.options.Transport.RoundTrip(ah.request(ctx, e)) //nolint:bodyclose // responseBody closes it.
+	sent := ah.request(ctx, e)
+	r, err := ah.gate.options.Transport.RoundTrip(sent) //nolint:bodyclose // responseBody closes it.
 	spent := time.Since(began)
 	if err != nil {
 		cancel(nil)
@@ -39,9 +40,10 @@
 	info := ah.gate.options.Dialect.ParseResponse(r.StatusCode, r.Header)
 	ah.gate.reportAnnouncement(began, info.Announcement)
 	if f := rejectionOf(e, info, r.StatusCode); f != event.None {
-		// The rest of the rejection is short. Reading it lets the connection be
-		// reused.
-		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBody)
+		if !ah.gate.options.Dialect.Identifies(sent.Header, r.Header) {
+			// The refusal may be that of another request, while this one runs.
+			f = event.Reset
+		}
 		closeBody(r.Body)
 		cancel(nil)
 		return ah.reportFailure(event.ExchangeEnded{Failure: f, Latency: spent, ServerLoad: info.ServerLoad})
@@ -66,10 +68,6 @@
 	}
 }
 
-// maxDiscardedBody is the size in bytes up to which the body of a rejection is
-// read.
-const maxDiscardedBody = 4 << 10
-
 // rejectionOf returns the failure if a response reports that the request did not
 // run, or event.None otherwise.
 func rejectionOf(e effect.Admit, s proto.ResponseInfo, status int) event.Failure {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -67,6 +67,9 @@
 	// Match reports whether a response belongs to a request; nil accepts every
 	// response.
 	Match func(r *http.Request, a *http.Response) bool
+	// Reuse reports whether the connection may carry another request after a response; nil
+	// allows it after every response.
+	Reuse func(a *http.Response) bool
 	// ReportPanic is called with a panic of a request body that is being sent, which closes
 	// the connection; nil ignores it.
 	ReportPanic func(place string, p any)
@@ -247,7 +250,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, transport: t, conn: c, stop: stop, reuse: !response.Close && !r.Close, context: r.Context()}
+	response.Body = &responseBody{ReadCloser: response.Body, transport: t, conn: c, stop: stop, reuse: t.mayReuse(r, response), context: r.Context()}
 	c.keepAlive = keepAliveTimeout(response)
 	if response.ContentLength == 0 || r.Method == http.MethodHead {
 		response.Body.(*responseBody).release(true)
@@ -255,6 +258,11 @@
 	return response, nil
 }
 
+// mayReuse reports whether the connection may carry another request after a to r.
+func (t *Transport) mayReuse(r *http.Request, a *http.Response) bool {
+	return !a.Close && !r.Close && (t.options.Reuse == nil || t.options.Reuse(a))
+}
+
 // readResponse reads the header of the response to r. It skips responses to
 // other requests.
 func (t *Transport) readResponse(c *conn, r *http.Request) (*http.Response, error) {
--- a/io/proto/dialect.go
+++ b/io/proto/dialect.go
@@ -26,6 +26,9 @@
 	// Matches reports whether a response belongs to a request, given the
 	// headers of both.
 	Matches(request, response http.Header) bool
+	// Identifies reports whether a response that matches a request certainly belongs to it,
+	// so that a refusal in it is a promise about this request.
+	Identifies(request, response http.Header) bool
 	// FormatRetryAfter formats a delay as the value of a Retry-After header.
 	FormatRetryAfter(after time.Duration) string
 }
@@ -99,7 +102,20 @@
 	return id == "" || id == request.Get(HeaderID)
 }
 
+// Identifies trusts the order on the connection, as most backend servers send no request IDs. No
+// connection is used again after a refusal, so that none can be sent once more on it.
+func (p Plain) Identifies(request, response http.Header) bool { return p.Matches(request, response) }
+
 // FormatRetryAfter formats a delay in seconds, rounded up.
 func (Plain) FormatRetryAfter(after time.Duration) string {
 	return strconv.Itoa(int((after + time.Second - 1) / time.Second))
 }
+
+// MayRefuse reports whether a response may state that its request did not run.
+func MayRefuse(d Dialect, a *http.Response) bool {
+	if a.StatusCode < http.StatusBadRequest {
+		return false
+	}
+	info := d.ParseResponse(a.StatusCode, a.Header)
+	return info.Declined || info.WrongIncarnation || a.StatusCode == http.StatusServiceUnavailable
+}
