fix(io/egress): a short response that breaks off within its body gives the caller an outcome

But a response with four bytes of twelve closed the caller's connection without a byte of a response, although nothing of it had been sent.

Cause: the head was written with the first part of the body. A body that fits into one part is now read whole first.

TestShortResponseThatBreaksOffGivesAnOutcome failed on the code before (EOF in place of a status).

--- a/io/egress/egress.go
+++ b/io/egress/egress.go
@@ -45,8 +45,8 @@
 // Copy copies a response body to w. Length is the size of the body in bytes, or -1 if
 // unknown, in which case the body counts as long. Each part of a long body waits for its
 // turn and is then written and flushed. Copy calls begin, which writes the head, once it
-// has read the first part or the end of an empty body, so that another head can be written
-// if the body breaks off before. Copy fails with a *proto.BrokenError if reading body or
+// has read the first part, or all of a body that fits into one, so that another head can be
+// written if the body breaks off before. Copy fails with a *proto.BrokenError if reading body or
 // writing to w fails. Once ctx has ended, Copy no longer waits for turns, but continues to
 // copy.
 func (wr *Writer) Copy(ctx context.Context, w http.ResponseWriter, body io.Reader, length int64, begin func()) error {
@@ -55,8 +55,12 @@
 	isLong := length < 0 || length > shortBodySize
 	c := http.NewResponseController(w)
 	begun := false
+	read := body.Read
+	if length >= 0 && length <= int64(len(*b)) {
+		read = func(b []byte) (int, error) { return readAll(body, b) }
+	}
 	for {
-		n, err := body.Read(*b)
+		n, err := read(*b)
 		if !begun && (n > 0 || errors.Is(err, io.EOF)) {
 			begun = true
 			begin()
@@ -83,6 +87,22 @@
 	}
 }
 
+// readAll reads body to its end, or until b is full. It returns nothing of a body that breaks off.
+func readAll(body io.Reader, b []byte) (int, error) {
+	size := 0
+	for size < len(b) {
+		n, err := body.Read(b[size:])
+		size += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return size, io.EOF
+		case err != nil:
+			return 0, err
+		}
+	}
+	return size, nil
+}
+
 // wait waits until a part of a long body may be sent or ctx ends. In the latter case the
 // part is written to a closed connection, and the write reports the error.
 func (wr *Writer) wait(ctx context.Context, bytes int) {
--- a/io/front/broken_test.go
+++ b/io/front/broken_test.go
@@ -94,3 +94,35 @@
 		})
 	}
 }
+
+// A short response that breaks off within its body must not cost the caller the outcome: nothing
+// of it was sent yet.
+func TestShortResponseThatBreaksOffGivesAnOutcome(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
+	for _, r := range []brokenResponse{
+		{"closed", head + "four", false},
+		{"reset", head + "four", true},
+		{"one byte short", head + "eleven byte", false},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := startBrokenServer(c, r)
+			one := newTestNode(c, "filing-1", server, netip.AddrPort{})
+			two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
+			for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
+				for _, target := range []string{"GET /lines/a", "POST /claims"} {
+					method, path, _ := strings.Cut(target, " ")
+					request, err := http.NewRequest(method, base+path, http.NoBody)
+					c.Assert(err, qt.IsNil)
+					response, err := http.DefaultTransport.RoundTrip(request)
+					c.Assert(err, qt.IsNil, qt.Commentf("%s over %s", target, name))
+					_, err = io.ReadAll(response.Body)
+					c.Check(err, qt.IsNil)
+					c.Check(response.Body.Close(), qt.IsNil)
+					isFailure := response.StatusCode/100 == 5 || response.StatusCode == http.StatusConflict
+					c.Check(isFailure, qt.IsTrue, qt.Commentf("%s over %s: status %d", target, name, response.StatusCode))
+				}
+			}
+		})
+	}
+}
