fix(core/node): a pause gives a leaving node no new time for requests from callers

In calm this cannot happen here: a leaving node takes requests for the drain time and a second (2 s on the users' platform, of a grace of 6 s and more), and then rejects them at once. But a pause of a second or more began the drain time anew, so that after it requests were passed on until the node was killed.

The time for callers now counts from the request to shut down. The drain time, in which a node rejects attempts of nodes that do not know yet, still begins anew.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -29,7 +29,8 @@
 	pauseThreshold = time.Second
 	// callerGrace is the time after its drain time for which a leaving node still accepts
 	// requests from callers. Without this bound, callers that send continuously would keep it
-	// from shutting down.
+	// from shutting down, and requests would still run when the platform kills it. A pause
+	// does not extend the time.
 	callerGrace = time.Second
 	// defaultMaxStaleness is the value of Config.MaxStaleness if that is zero.
 	defaultMaxStaleness = 2 * time.Minute
@@ -74,7 +75,10 @@
 	outboundProbes   *bucket.Bucket
 	inboundProbes    *bucket.Bucket
 	lastTick         time.Time
-	drainStart       time.Time
+	// leaveStart is the time at which a leaving node was asked to shut down, and drainStart that
+	// from which its drain time counts.
+	leaveStart time.Time
+	drainStart time.Time
 	// leaving reports that the instance list marks this instance as leaving, and unlisted that
 	// the list does not contain it.
 	leaving  bool
@@ -191,7 +195,7 @@
 	n.entry.SetVersions(n.gossip.Versions(e.Time()))
 	switch e := e.(type) {
 	case event.Request:
-		if n.guard.Leaving() && e.At.Sub(n.drainStart) > n.config.DrainTime+callerGrace {
+		if n.guard.Leaving() && e.At.Sub(n.leaveStart) > n.config.DrainTime+callerGrace {
 			return n.entry.Reject(e, effect.ReasonLeaving, out)
 		}
 		return n.entry.Request(e, out)
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -156,7 +156,7 @@
 	if n.guard.Leaving() {
 		return out
 	}
-	n.drainStart = e.At
+	n.leaveStart, n.drainStart = e.At, e.At
 	out = append(out, effect.LogEvent{Kind: effect.KindLeave})
 	return n.guard.Drain(out)
 }
