--- a/io/egress/egress.go
+++ b/io/egress/egress.go
@@ -55,12 +55,9 @@
 	isLong := length < 0 || length > shortBodySize
 	c := http.NewResponseController(w)
 	begun := false
-	read := body.Read
-	if length >= 0 && length <= int64(len(*b)) {
-		read = func(b []byte) (int, error) { return readAll(body, b) }
-	}
+	parts := partReader(body, length, len(*b))
 	for {
-		n, err := read(*b)
+		n, err := parts.Read(*b)
 		if !begun && (n > 0 || errors.Is(err, io.EOF)) {
 			begun = true
 			begin()
@@ -87,11 +84,23 @@
 	}
 }
 
-// readAll reads body to its end, or until b is full. It returns nothing of a body that breaks off.
-func readAll(body io.Reader, b []byte) (int, error) {
+// partReader returns a reader of the parts of a body. A body that fits into one part is read
+// whole.
+func partReader(body io.Reader, length int64, partSize int) io.Reader {
+	if length < 0 || length > int64(partSize) {
+		return body
+	}
+	return wholeReader{body: body}
+}
+
+// wholeReader reads a body to its end at once. It returns nothing of one that breaks off.
+type wholeReader struct{ body io.Reader }
+
+// Read reads the body to its end, or until b is full.
+func (w wholeReader) Read(b []byte) (int, error) {
 	size := 0
 	for size < len(b) {
-		n, err := body.Read(b[size:])
+		n, err := w.body.Read(b[size:])
 		size += n
 		switch {
 		case errors.Is(err, io.EOF):
