fix(core/guard): a limit ends with the incarnation that stated it; a metric for it

A backend server that replaces one with a limit would have kept that limit until its first response, if health checks do not state limits. Found on reading; TestLimitEndsWithTheIncarnationThatStatedIt fails without the fix.

The gauge server_quota shows the limit.

--- a/core/guard/health.go
+++ b/core/guard/health.go
@@ -21,6 +21,9 @@
 	g.draining = e.State == event.Draining
 	g.reportsFailing = e.State == event.Failing
 	if e.Incarnation != "" {
+		if g.incarnation != "" && g.incarnation != e.Incarnation {
+			g.quota.Reset()
+		}
 		g.incarnation = e.Incarnation
 	}
 	g.updateServerLoad(e.At, e.ServerLoad)
--- a/core/guard/limit_test.go
+++ b/core/guard/limit_test.go
@@ -148,3 +148,20 @@
 	c.Check(strings.Join(announce(second(12), event.Announcement{}), ""), qt.Contains, "no limit any more")
 	c.Check(g.Load(second(12)).RateLimit, qt.Equals, 0.0)
 }
+
+// The limit of a backend server does not hold for the one that replaces it.
+func TestLimitEndsWithTheIncarnationThatStatedIt(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	check := func(incarnation string) { g.HealthChecked(event.HealthChecked{At: now, Incarnation: incarnation}, nil) }
+	suggested := attempt(1, "")
+	suggested.RateLimit = 5
+	g.Attempt(suggested, owned, nil)
+	check("one")
+	c.Check(g.Load(now).RateLimit, qt.Equals, 5.0, qt.Commentf("the first health check names no other incarnation"))
+	g.ServerAnnounced(event.ServerAnnounced{At: now, SentAt: now, Announcement: event.Announcement{RateLimit: 2, IsLimited: true}}, nil)
+	check("one")
+	c.Check(g.Load(now).RateLimit, qt.Equals, 2.0)
+	check("two")
+	c.Check(g.Load(now).RateLimit, qt.Equals, 0.0)
+}
--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -69,7 +69,7 @@
 // checkHealth passes the result of a health check to the guard.
 func (r *simulation) checkHealth(coldLeft time.Duration) {
 	r.run(r.guard.HealthChecked(event.HealthChecked{
-		At: r.now, ColdLeft: coldLeft, ServerLoad: &event.ServerLoad{Busy: len(r.remaining), Slots: 9, Slow: r.slow(r.now)},
+		At: r.now, Incarnation: "one", ColdLeft: coldLeft, ServerLoad: &event.ServerLoad{Busy: len(r.remaining), Slots: 9, Slow: r.slow(r.now)},
 	}, nil))
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -103,6 +103,10 @@
 	q.apply()
 }
 
+// Reset ends the limit when another incarnation of the backend server has started. What entries
+// know is about the one before.
+func (q *Quota) Reset() { *q = Quota{heard: true} }
+
 // apply puts the lowest of the stated limits in force.
 func (q *Quota) apply() {
 	rate, isLimited := q.suggested, q.suggested > 0
--- a/io/daemon/gauge.go
+++ b/io/daemon/gauge.go
@@ -21,6 +21,7 @@
 	fleetRevision  tally.Gauge
 	fleetAge       tally.Gauge
 	slow           tally.Gauge
+	quota          tally.Gauge
 	platformReader tally.Gauge
 	linesLost      tally.Gauge
 	linesSkipped   tally.Gauge
@@ -40,6 +41,7 @@
 		fleetRevision:  s.Gauge("fleet_revision"),
 		fleetAge:       s.Gauge("fleet_age"),
 		slow:           s.Gauge("server_slow"),
+		quota:          s.Gauge("server_quota"),
 		platformReader: s.Gauge("platform_reader"),
 		linesLost:      s.Gauge("log_lost"),
 		linesSkipped:   s.Gauge("log_left"),
@@ -59,6 +61,7 @@
 	g.fleetRevision.Update(float64(s.Versions.Fleet.Revision))
 	g.fleetAge.Update(s.Versions.FleetAge.Seconds())
 	g.slow.Update(float64(s.Load.Slow) / percent)
+	g.quota.Update(s.Load.RateLimit)
 	g.platformReader.Update(boolToFloat(s.IsReader))
 }
 
