fix(core/entry): the rejection of a restarted guard does not make an entry forget a limit

A guard that has restarted rejects the first attempt for its former incarnation, with a load report that has no limit yet. The entry took that for the end of the limit, so that the attempt that it sent next did not carry it: the one for which it is kept. Found on reading; TestKnownLimitIsSentWithAttempts has the case, which failed before.

--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -117,7 +117,10 @@
 func (p *peer) observe(e event.AttemptEnded) {
 	if e.Load != nil {
 		p.recordLoad(*e.Load, e.At)
-		p.rateLimit, p.rateLimitAt = e.Load.RateLimit, e.At
+		if e.Load.RateLimit > 0 || e.Verdict == event.Ran {
+			// A guard that rejects an attempt may have restarted and not know the limit.
+			p.rateLimit, p.rateLimitAt = e.Load.RateLimit, e.At
+		}
 		p.updateEnding(e.Guard.Incarnation, e.Load.Ending, e.At)
 	}
 	if e.Guard.Instance == p.instance.Name && e.Guard.Incarnation != 0 {
--- a/core/entry/target_test.go
+++ b/core/entry/target_test.go
@@ -387,7 +387,16 @@
 	c.Check(send(3, at.Add(time.Minute)).RateLimit, qt.Equals, 0.0, qt.Commentf("too long ago"))
 	f = send(4, at.Add(2*time.Second))
 	end(f, at.Add(2*time.Second), 0)
-	c.Check(send(5, at.Add(3*time.Second)).RateLimit, qt.Equals, 0.0)
+	f = send(5, at.Add(3*time.Second))
+	c.Check(f.RateLimit, qt.Equals, 0.0)
+	end(f, at.Add(3*time.Second), 3.3)
+	f = send(6, at.Add(4*time.Second))
+	resent := findEffect[effect.Forward](c, n.AttemptEnded(event.AttemptEnded{
+		At: at.Add(4 * time.Second), ID: f.ID, Ticket: f.Ticket, Verdict: event.NotRun, Reason: string(effect.ReasonIncarnation),
+		Guard: ticket.NodeID{Instance: "near-1", Incarnation: 6}, Load: &report.Load{Limit: 7, Slow: 100},
+	}, nil))
+	c.Check(resent.Peer.Name, qt.Equals, "near-1")
+	c.Check(resent.RateLimit, qt.Equals, 3.3, qt.Commentf("the guard has restarted"))
 }
 
 // A backend server that has announced that it is leaving gets no further request from an entry
