fix(core/guard): an attempt for another instance states no limit for this backend server

Addresses are used again: an attempt for the instance that had the address before was rejected, but its limit was adopted first. Found on reading; TestLimitOfAnotherInstanceIsIgnored failed before.

--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -15,10 +15,10 @@
 // Attempt admits, queues, holds or rejects an attempt that has arrived.
 func (g *Guard) Attempt(e event.Attempt, admission Admission, out []effect.Effect) []effect.Effect {
 	g.lastAttemptAt = e.At
-	g.quota.Suggest(e.RateLimit)
 	if reason := g.misaddressedReason(e.Ticket); reason != "" {
 		return appendRejection(e, effect.NotRun, reason, out)
 	}
+	g.quota.Suggest(e.RateLimit)
 	if !e.Idempotent {
 		var known bool
 		if out, known = g.checkLedger(e, out); known {
--- a/core/guard/limit_test.go
+++ b/core/guard/limit_test.go
@@ -165,3 +165,13 @@
 	check("two")
 	c.Check(g.Load(now).RateLimit, qt.Equals, 0.0)
 }
+
+// An attempt for another instance tells nothing about this backend server.
+func TestLimitOfAnotherInstanceIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	other := attempt(1, "")
+	other.RateLimit, other.Ticket.Guard.Instance = 2, "other"
+	find[effect.RejectAttempt](c, g.Attempt(other, owned, nil))
+	c.Check(g.Load(now).RateLimit, qt.Equals, 0.0)
+}
