fix(core/guard): a slow health check does not end an announced departure

A backend server that had announced its departure counted as started again after a health check without a response, as a slow one gives it, and got requests again if its health checks do not have the announcement. Only a refused connection tells that it has ended. Found on reading; the case "health check without response" of TestEndOfAnnouncedDeparture failed before.

--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -181,6 +181,8 @@
 type HealthChecked struct {
 	At    time.Time
 	State ServerState
+	// Refused means that nothing listens at the address of the backend server.
+	Refused bool
 	// Incarnation is the incarnation of the backend server that responded, or empty.
 	Incarnation string
 	// ColdLeft is the time that the backend server stays cold, if it reports one.
--- a/core/guard/admit.go
+++ b/core/guard/admit.go
@@ -288,7 +288,7 @@
 	switch e.Failure {
 	case event.Refused:
 		g.down = true
-		g.departure.wasUnreachable = true
+		g.departure.hasEnded = true
 		out = appendRejection(event.Attempt{Arrival: e.Arrival}, effect.NotRun, effect.ReasonServer, out)
 		return g.MarkCold("connection refused", out)
 	case event.Reset:
--- a/core/guard/announce.go
+++ b/core/guard/announce.go
@@ -27,8 +27,9 @@
 	inHealthChecks bool
 	// incarnation is the incarnation that made the announcement, or empty if it is unknown.
 	incarnation string
-	// wasUnreachable means that the backend server was unreachable since the announcement.
-	wasUnreachable bool
+	// hasEnded means that the backend server has refused a connection since the announcement. One
+	// that does not respond may only be slow.
+	hasEnded bool
 }
 
 // update records a response of the given incarnation.
@@ -36,7 +37,7 @@
 	switch {
 	case isLeaving:
 		*d = departure{announced: true, inHealthChecks: d.inHealthChecks || isHealthCheck, incarnation: incarnation}
-	case isHealthCheck && (d.inHealthChecks || d.wasUnreachable || incarnation != d.incarnation):
+	case isHealthCheck && (d.inHealthChecks || d.hasEnded || incarnation != d.incarnation):
 		// The address may have gone to another backend server, or it was started again.
 		*d = departure{}
 	}
--- a/core/guard/health.go
+++ b/core/guard/health.go
@@ -12,7 +12,7 @@
 // itself warm does not end the warm-up ramp.
 func (g *Guard) HealthChecked(e event.HealthChecked, out []effect.Effect) []effect.Effect {
 	if e.State == event.Unreachable {
-		g.departure.wasUnreachable = true
+		g.departure.hasEnded = g.departure.hasEnded || e.Refused
 		out = g.MarkCold("no response to the health check", out)
 		return g.startQueued(e.At, out)
 	}
--- a/core/guard/leaving_test.go
+++ b/core/guard/leaving_test.go
@@ -56,10 +56,14 @@
 			check(g, "one", false)
 		}, false},
 		{"unreachable", func(g *guard.Guard) {
+			g.HealthChecked(event.HealthChecked{At: now, State: event.Unreachable, Refused: true}, nil)
+		}, true},
+		{"health check without response", func(g *guard.Guard) {
 			g.HealthChecked(event.HealthChecked{At: now, State: event.Unreachable}, nil)
+			check(g, "one", false)
 		}, true},
 		{"started again as the same incarnation", func(g *guard.Guard) {
-			g.HealthChecked(event.HealthChecked{At: now, State: event.Unreachable}, nil)
+			g.HealthChecked(event.HealthChecked{At: now, State: event.Unreachable, Refused: true}, nil)
 			check(g, "one", false)
 		}, false},
 	}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bulrushlock/core/effect"
@@ -288,6 +289,7 @@
 // healthChecked returns the event that reports the result of a health check.
 func healthChecked(s health.Result, err error) event.HealthChecked {
 	e := event.HealthChecked{At: time.Now(), State: serverState(s, err), Incarnation: s.Incarnation, ColdLeft: s.ColdLeft, Announcement: s.Announcement}
+	e.Refused = errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil && s.Slots > 0 {
 		e.ServerLoad = &event.ServerLoad{Busy: s.Running, Queued: s.Queued, Slots: s.Slots, Slow: s.SlowPercent}
 	}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -145,3 +146,25 @@
 		})
 	}
 }
+
+// Only a refused connection tells that the backend server has ended; one that does not respond in
+// time may be slow.
+func TestRefusedHealthCheckIsToldFromSlowOne(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := netip.MustParseAddrPort(l.Addr().String())
+	check := func() event.HealthChecked {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		s, err := health.NewHTTP(address, http.DefaultClient).Check(ctx, "/healthz")
+		return healthChecked(s, err)
+	}
+	slow := check()
+	c.Check(slow.State, qt.Equals, event.Unreachable)
+	c.Check(slow.Refused, qt.IsFalse)
+	c.Assert(l.Close(), qt.IsNil)
+	gone := check()
+	c.Check(gone.State, qt.Equals, event.Unreachable)
+	c.Check(gone.Refused, qt.IsTrue)
+}
