fix(core/guard): a malformed departure does not keep a limit in force

A backend server that sends anything but 1 as its departure was taken for one whose limit cannot be parsed, so that a limit that it no longer states stayed. Found on reading; the case in TestMalformedLimitIsLogged failed before.

--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -161,8 +161,10 @@
 	IsLimited bool
 	// Leaving means that it is about to end and takes no new requests.
 	Leaving bool
-	// Malformed is the text of an announcement that cannot be parsed, or empty.
-	Malformed string
+	// Malformed is the text of an announcement that cannot be parsed, or empty. IsLimitMalformed
+	// means that it is that of a limit.
+	Malformed        string
+	IsLimitMalformed bool
 }
 
 // ServerAnnounced reports the announcement in the header of a response of the local backend
--- a/core/guard/announce.go
+++ b/core/guard/announce.go
@@ -44,19 +44,19 @@
 }
 
 // applyAnnouncement adopts what the backend server announces in the response to a request
-// sent at sentAt. An announcement that cannot be parsed changes nothing.
+// sent at sentAt. A limit that cannot be parsed leaves the one in force.
 func (g *Guard) applyAnnouncement(at, sentAt time.Time, isHealthCheck bool, a event.Announcement, out []effect.Effect) []effect.Effect {
 	if a.Malformed != "" {
 		out = g.logAnnouncement(at, effect.KindInvalid, fmt.Sprintf("announcement of the backend server: %q", a.Malformed), out)
-		if !a.IsLimited && !a.Leaving {
-			return out
-		}
 	}
 	wasLeaving := g.departure.announced
 	g.departure.update(a.Leaving, isHealthCheck, g.incarnation)
 	if isLeaving := g.departure.announced; isLeaving != wasLeaving {
 		out = append(out, effect.LogEvent{Kind: effect.KindEnding, Text: departureText(isLeaving)})
 	}
+	if a.IsLimitMalformed && !a.IsLimited {
+		return out
+	}
 	before, wasLimited := g.quota.Rate()
 	g.quota.Observe(at, sentAt, isHealthCheck, a.RateLimit, a.IsLimited)
 	rate, isLimited := g.quota.Rate()
--- a/core/guard/limit_test.go
+++ b/core/guard/limit_test.go
@@ -142,10 +142,15 @@
 	}
 	second := func(n int) time.Time { return now.Add(time.Duration(n) * time.Second) }
 	c.Check(announce(second(10), event.Announcement{RateLimit: 2, IsLimited: true}), qt.DeepEquals, []string{"quota the backend server takes 2 requests per second"})
-	c.Check(announce(second(11), event.Announcement{Malformed: "two"}), qt.DeepEquals, []string{`invalid announcement of the backend server: "two"`})
-	c.Check(announce(second(11), event.Announcement{Malformed: "three"}), qt.HasLen, 0)
+	c.Check(announce(second(11), event.Announcement{Malformed: "two", IsLimitMalformed: true}), qt.DeepEquals, []string{`invalid announcement of the backend server: "two"`})
+	c.Check(announce(second(11), event.Announcement{Malformed: "three", IsLimitMalformed: true}), qt.HasLen, 0)
 	c.Check(g.Load(second(11)).RateLimit, qt.Equals, 2.0)
-	c.Check(strings.Join(announce(second(12), event.Announcement{}), ""), qt.Contains, "no limit any more")
+	c.Check(announce(second(12), event.Announcement{Malformed: "yes"}), qt.DeepEquals, []string{
+		`invalid announcement of the backend server: "yes"`, "quota the backend server states no limit any more",
+	})
+	c.Check(g.Load(second(12)).RateLimit, qt.Equals, 0.0, qt.Commentf("a malformed departure keeps no limit"))
+	announce(second(13), event.Announcement{RateLimit: 2, IsLimited: true})
+	c.Check(strings.Join(announce(second(14), event.Announcement{}), ""), qt.Contains, "no limit any more")
 	c.Check(g.Load(second(12)).RateLimit, qt.Equals, 0.0)
 }
 
