fix(core/gossip): nodes that broadcasts do not reach ask their peers for newer rules in time

What callers would see: a route that was published two seconds earlier or more is refused with 404 by a node that is up and in contact with the platform, while most other nodes are unavailable.

Cause: above 32 peers the readers tell one node in each part of the list, and new versions are announced to four random peers. If most of these are cut off or down, a part misses several turns in a row, the announcements die out, and a node far back in the reading order reads late. What was left is one exchange a second with one random peer, most likely one that is gone.

Now a node whose rules were not confirmed for 1.2 s exchanges versions with four random peers every 0.2 s, after 3 s with two every 0.5 s.

--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -38,8 +38,15 @@
 	lossPercent = 2
 )
 
-// seeds is the number of seeds of TestPublishedRulesReachNodesInContact.
-var seeds = flag.Int("gossip.seeds", 60, "number of seeds of the mixed faults")
+// seeds is the number of seeds of TestPublishedRulesReachNodesInContact, and relaySeeds that of
+// TestPublishedRulesReachNodesWhoseRelaysAreGone for each size.
+var (
+	seeds      = flag.Int("gossip.seeds", 60, "number of seeds of the mixed faults")
+	relaySeeds = flag.Int("gossip.relayseeds", 8, "number of seeds of the mixed faults in larger fleets")
+)
+
+// smallFleet is a number of nodes that inform each other directly.
+const smallFleet = 13
 
 // contactStart is the time at which the fleets of these tests start.
 var contactStart = time.Unix(1000, 0)
@@ -429,16 +436,39 @@
 		tested = append(tested, seed)
 	}
 	for _, seed := range tested {
-		if late := runMixedFaults(qt.New(t), seed); late != "" {
+		if late := runMixedFaults(qt.New(t), smallFleet, seed); late != "" {
 			t.Errorf("seed %d: %s", seed, late)
 		}
 	}
 }
 
+// lateRelaySeeds are the seeds whose rules were in force late once in a fleet of a given size,
+// because most relays of the broadcasts were unavailable.
+var lateRelaySeeds = map[int][]uint64{
+	40: {136, 239, 319, 324},
+	60: {131, 174, 218},
+}
+
+// Rules must also reach nodes whose peers are too many for direct broadcasts, where most of the
+// nodes that relay these are unavailable.
+func TestPublishedRulesReachNodesWhoseRelaysAreGone(t *testing.T) {
+	for nodes, late := range lateRelaySeeds {
+		tested := slices.Clone(late)
+		for seed := range uint64(*relaySeeds) {
+			tested = append(tested, seed)
+		}
+		for _, seed := range tested {
+			if late := runMixedFaults(qt.New(t), nodes, seed); late != "" {
+				t.Errorf("%d nodes, seed %d: %s", nodes, seed, late)
+			}
+		}
+	}
+}
+
 // runMixedFaults runs a fleet through random faults and publications of rules. It returns the
 // first node in contact that is late, or an empty text.
-func runMixedFaults(c *qt.C, seed uint64) string {
-	const nodes, faults, changes, settling, length = 13, 6, 8, 5 * time.Second, 30 * time.Second
+func runMixedFaults(c *qt.C, nodes int, seed uint64) string {
+	const faults, changes, settling, length = 6, 8, 5 * time.Second, 30 * time.Second
 	f := newContactFleet(c, nodes, seed)
 	from := contactStart.Add(settling)
 	if late := f.advance(from); late != "" {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -30,6 +30,14 @@
 const (
 	// gossipInterval is the time between two version exchanges with a random peer.
 	gossipInterval = time.Second
+	// overdueAge is the age of the rules above which this node exchanges versions with
+	// overdueFanout random peers every readStagger.
+	overdueAge    = rereadAge + 2*readStagger
+	overdueFanout = 4
+	// outageInterval is the time between two such rounds, and outageFanout the number of peers in
+	// each, once the rules are older than outageAge.
+	outageInterval = 500 * time.Millisecond
+	outageFanout   = 2
 	// longPollTimeout is the maximum time for which the platform may hold a read of a reader
 	// open. If the reader fails, a change reaches its peers later by up to this time.
 	longPollTimeout = 800 * time.Millisecond
@@ -71,8 +79,8 @@
 	checkFanout = 3
 	// fetchTimeout is how long to wait for a version from one peer before asking another one.
 	fetchTimeout = 800 * time.Millisecond
-	// outageAge is the age of the instance list above which the platform may have been
-	// unavailable, so that the registrations of live instances may have expired.
+	// outageAge is the age of a document above which the platform may be unavailable to all nodes,
+	// so that the registrations of live instances may have expired.
 	outageAge = 3 * time.Second
 	// outageGrace is the time within which such instances are listed again.
 	outageGrace = 2 * time.Second
@@ -273,12 +281,27 @@
 	for d := range event.Document(documentCount) {
 		out = g.readIfDue(d, e, out)
 	}
-	if e.At.Sub(g.lastRound) >= gossipInterval {
+	if interval, fanout := g.exchangeRound(e.At); e.At.Sub(g.lastRound) >= interval {
 		g.lastRound = e.At
-		out = g.exchangeVersions(e.At, e.Random, 1, out)
+		out = g.exchangeVersions(e.At, e.Random, fanout, out)
 	}
 	return change, out
 }
 
+// exchangeRound returns the time between two rounds of version exchanges, and the number of random
+// peers in each. Once the readers should have confirmed the rules, this node asks more peers, and
+// more often: the broadcasts may not reach it, for example because the node that relays them to it
+// is unavailable. While the platform is unavailable to all, it asks less often again.
+func (g *Gossip) exchangeRound(now time.Time) (interval time.Duration, fanout int) {
+	age := g.RulesAge(now)
+	switch {
+	case age <= overdueAge || g.freshness.state == Checking:
+		return gossipInterval, 1
+	case age <= outageAge:
+		return readStagger, overdueFanout
+	}
+	return outageInterval, outageFanout
+}
+
 // FleetAge returns the time since the instance list was last confirmed to be current.
 func (g *Gossip) FleetAge(now time.Time) time.Duration { return g.fleet.Age(now) }
