fix(core/gossip): a node that no peer reaches reads the platform itself

What callers would see: a node that is cut off from all its peers but not from the platform goes by rules that were replaced two seconds before or more: a new route is refused with 404, a withdrawn one is still served.

Cause: such a node waits for its turn in the reading order as if those before it might read for it. The 60th node waited 7.8 s; with thirteen nodes the last one reads at 1.8 s, within the bound of 2 s by little.

Now a node that has got no message from any peer for 1.4 s, which leaves time for the responses of four peers that it asks at 1.2 s, reads at once. An outage of the platform does not lead to that, since nodes hear of each other all the while. Failed reads are tried again about a second later.

--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -465,6 +465,29 @@
 	}
 }
 
+// A node that no peer reaches must read the platform itself in time, wherever it stands in the
+// reading order.
+func TestPublishedRulesReachNodesWithoutPeers(t *testing.T) {
+	for _, nodes := range []int{smallFleet, 60} {
+		for seed := range uint64(10) {
+			f := newContactFleet(qt.New(t), nodes, seed)
+			from := contactStart.Add(8 * time.Second)
+			f.advance(from)
+			for node := range nodes {
+				if f.random.IntN(4) == 0 {
+					f.inject(outage{from: from, to: from.Add(6 * time.Second), nodes: map[int]bool{node: true}, isolated: true})
+				}
+			}
+			for at := from; at.Before(from.Add(6 * time.Second)); at = at.Add(700 * time.Millisecond) {
+				f.published = append(f.published, at)
+			}
+			if late := f.advance(from.Add(10 * time.Second)); late != "" {
+				t.Errorf("%d nodes, seed %d: %s", nodes, seed, late)
+			}
+		}
+	}
+}
+
 // runMixedFaults runs a fleet through random faults and publications of rules. It returns the
 // first node in contact that is late, or an empty text.
 func runMixedFaults(c *qt.C, nodes int, seed uint64) string {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -34,6 +34,9 @@
 	// overdueFanout random peers every readStagger.
 	overdueAge    = rereadAge + 2*readStagger
 	overdueFanout = 4
+	// isolationTime is the time without a message from any peer after which this node reads the
+	// platform itself. It leaves time for the responses of a round at overdueAge.
+	isolationTime = overdueAge + readStagger
 	// outageInterval is the time between two such rounds, and outageFanout the number of peers in
 	// each, once the rules are older than outageAge.
 	outageInterval = 500 * time.Millisecond
@@ -108,6 +111,8 @@
 	started       time.Time
 	lastRound     time.Time
 	lastBroadcast time.Time
+	// heardAt is the time of the last message from a peer.
+	heardAt time.Time
 	// broadcasts is the number of broadcasts this node has made.
 	broadcasts int
 	freshness  freshnessTracker
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -124,6 +124,8 @@
 	case r.retryAt.IsZero() && r.reader && r.confirmedBy == readerID(g.instance):
 		// The platform holds a read for as long, so that the reader learns of a change at once.
 		return r.readAt.Add(rereadAge)
+	case g.isIsolated(now):
+		return laterOf(confirmedAt.Add(rereadAge), r.retryAt)
 	case r.retryAt.IsZero():
 		return due
 	case confirmedAt.After(r.readAt) && g.isSettled(now):
@@ -186,6 +188,12 @@
 // isSettled reports whether nodes that started with this one agree on the reading order.
 func (g *Gossip) isSettled(now time.Time) bool { return now.Sub(g.started) > settleTime }
 
+// isIsolated reports whether this node has got no message from any of its peers lately, so that it
+// must read the platform itself.
+func (g *Gossip) isIsolated(now time.Time) bool {
+	return len(g.peers) > 0 && g.isSettled(now) && now.Sub(g.heardAt) > isolationTime
+}
+
 // isConfirmed reports whether a document was ever confirmed.
 func (g *Gossip) isConfirmed(d event.Document) bool {
 	if d == event.Fleet {
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -45,6 +45,7 @@
 // confirm the view. A queried peer that holds no newer rules and does not confirm those of this
 // node counts as a failure of the check.
 func (g *Gossip) VersionsReceived(e event.VersionsReceived, out []effect.Effect) (Change, []effect.Effect) {
+	g.heardAt = e.At
 	p := g.sender(e)
 	if g.fleet.NeedsFetch(e.Versions.Fleet) {
 		out = g.fetchFromPeer(e.At, event.Fleet, p, e.Versions.Fleet, out)
