fix(core/guard): the first health check of a guard does not end an announced departure

What callers would see: a backend server that has announced its departure gets a request more than two seconds later, beside a guard that was restarted.

Cause: a guard that gets the announcement before its first health check does not know the incarnation of the backend server. The first health check then names one, which counted as another incarnation and ended the departure, at the guard and by its load report at the entries. Whether health checks carry the announcement too is not known.

Now the first known incarnation is taken for the one that made the announcement.

TestFirstHealthCheckDoesNotEndAnnouncedDeparture failed on the code before.

--- a/core/guard/announce.go
+++ b/core/guard/announce.go
@@ -37,6 +37,9 @@
 	switch {
 	case isLeaving:
 		*d = departure{announced: true, inHealthChecks: d.inHealthChecks || isHealthCheck, incarnation: incarnation}
+	case isHealthCheck && d.announced && d.incarnation == "" && !d.inHealthChecks && !d.hasEnded:
+		// The guard has just started: this is the first health check.
+		d.incarnation = incarnation
 	case isHealthCheck && (d.inHealthChecks || d.hasEnded || incarnation != d.incarnation):
 		// The address may have gone to another backend server, or it was started again.
 		*d = departure{}
--- a/core/guard/leaving_test.go
+++ b/core/guard/leaving_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// The first health check of a guard that has just started does not end a departure that an earlier
+// response announced.
+func TestFirstHealthCheckDoesNotEndAnnouncedDeparture(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(c)
+	g.ServerAnnounced(event.ServerAnnounced{At: now, SentAt: now, Announcement: event.Announcement{Leaving: true}}, nil)
+	g.HealthChecked(event.HealthChecked{At: now, Incarnation: "one"}, nil)
+	c.Check(g.Load(now).Ending, qt.IsTrue)
+	g.HealthChecked(event.HealthChecked{At: now, Incarnation: "two"}, nil)
+	c.Check(g.Load(now).Ending, qt.IsFalse)
+}
+
 // Announced departures are logged once each, with their end.
 func TestAnnouncedDepartureIsLogged(t *testing.T) {
 	c := qt.New(t)
