--- a/io/front/broken_test.go
+++ b/io/front/broken_test.go
@@ -69,32 +69,42 @@
 func TestBrokenResponsesNeverLookComplete(t *testing.T) {
 	for _, r := range brokenResponses() {
 		t.Run(r.name, func(t *testing.T) {
-			c := qt.New(t)
-			server := startBrokenServer(c, r)
-			one := newTestNode(c, "filing-1", server, netip.AddrPort{})
-			two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
-			for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
-				for _, target := range []string{"GET /lines/a", "POST /claims"} {
-					method, path, _ := strings.Cut(target, " ")
-					request, err := http.NewRequest(method, base+path, http.NoBody)
-					c.Assert(err, qt.IsNil)
-					response, err := http.DefaultTransport.RoundTrip(request)
-					comment := qt.Commentf("%s over %s", target, name)
-					if err != nil {
-						// Before the head nothing was told, and the caller could have been.
-						c.Check(strings.Contains(r.name, "no body"), qt.IsFalse, comment)
-						continue
-					}
-					_, err = io.ReadAll(response.Body)
-					_ = response.Body.Close()
-					isFailure := response.StatusCode/100 == 5 || response.StatusCode == http.StatusConflict
-					c.Check(err != nil || isFailure, qt.IsTrue, qt.Commentf("%s over %s: status %d, error %v", target, name, response.StatusCode, err))
+			forEachTarget(qt.New(t), r, func(c *qt.C, response *http.Response, err error, target string) {
+				if err != nil {
+					// Before the head nothing was told, and the caller could have been.
+					c.Check(strings.Contains(r.name, "no body"), qt.IsFalse, qt.Commentf("%s", target))
+					return
 				}
-			}
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				c.Check(err != nil || isFailure(response), qt.IsTrue, qt.Commentf("%s: status %d, error %v", target, response.StatusCode, err))
+			})
 		})
 	}
 }
 
+// forEachTarget calls check with the result of a lookup and of a claim, each over one node and over
+// two, at a backend server that sends r.
+func forEachTarget(c *qt.C, r brokenResponse, check func(c *qt.C, response *http.Response, err error, target string)) {
+	server := startBrokenServer(c, r)
+	one := newTestNode(c, "filing-1", server, netip.AddrPort{})
+	two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
+	for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
+		for _, target := range []string{"GET /lines/a", "POST /claims"} {
+			method, path, _ := strings.Cut(target, " ")
+			request, err := http.NewRequest(method, base+path, http.NoBody)
+			c.Assert(err, qt.IsNil)
+			response, err := http.DefaultTransport.RoundTrip(request) //nolint:bodyclose // check closes it.
+			check(c, response, err, target+" over "+name)
+		}
+	}
+}
+
+// isFailure reports whether a response tells the caller that its request failed or may have.
+func isFailure(r *http.Response) bool {
+	return r.StatusCode/100 == 5 || r.StatusCode == http.StatusConflict
+}
+
 // A short response that breaks off within its body must not cost the caller the outcome: nothing
 // of it was sent yet.
 func TestShortResponseThatBreaksOffGivesAnOutcome(t *testing.T) {
@@ -105,24 +115,13 @@
 		{"one byte short", head + "eleven byte", false},
 	} {
 		t.Run(r.name, func(t *testing.T) {
-			c := qt.New(t)
-			server := startBrokenServer(c, r)
-			one := newTestNode(c, "filing-1", server, netip.AddrPort{})
-			two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
-			for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
-				for _, target := range []string{"GET /lines/a", "POST /claims"} {
-					method, path, _ := strings.Cut(target, " ")
-					request, err := http.NewRequest(method, base+path, http.NoBody)
-					c.Assert(err, qt.IsNil)
-					response, err := http.DefaultTransport.RoundTrip(request)
-					c.Assert(err, qt.IsNil, qt.Commentf("%s over %s", target, name))
-					_, err = io.ReadAll(response.Body)
-					c.Check(err, qt.IsNil)
-					c.Check(response.Body.Close(), qt.IsNil)
-					isFailure := response.StatusCode/100 == 5 || response.StatusCode == http.StatusConflict
-					c.Check(isFailure, qt.IsTrue, qt.Commentf("%s over %s: status %d", target, name, response.StatusCode))
-				}
-			}
+			forEachTarget(qt.New(t), r, func(c *qt.C, response *http.Response, err error, target string) {
+				c.Assert(err, qt.IsNil, qt.Commentf("%s", target))
+				_, err = io.ReadAll(response.Body)
+				c.Check(err, qt.IsNil)
+				c.Check(response.Body.Close(), qt.IsNil)
+				c.Check(isFailure(response), qt.IsTrue, qt.Commentf("%s: status %d", target, response.StatusCode))
+			})
 		})
 	}
 }
