test(review): one thread starts the nodes, and changes of case 4 follow each other sooner

Cause: a node is killed with the thread that started it, and case 4 met few changes while the node reads stale data. Change: a thread that lives as long as the program starts all nodes; eight configurations, one each 3 s.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # It needs nothing but Go's standard library.
 set -euo pipefail
 cd "$(dirname "$0")/stand"
-GOFLAGS=-buildvcs=false GOWORK=off go build -o ../../target/review-stand .
+CGO_ENABLED=0 GOFLAGS=-buildvcs=false GOWORK=off go build -o ../../target/review-stand .
--- a/review/stand/alone.go
+++ b/review/stand/alone.go
@@ -18,8 +18,8 @@
 	// staleTime is the age of what the store gives to a read that allows stale data.
 	staleTime = 2 * time.Second
 	// changes is the number of configurations that follow, one each changePause.
-	changes     = 6
-	changePause = 4 * time.Second
+	changes     = 8
+	changePause = 3 * time.Second
 )
 
 // alone plays a deployment of two machines, one of which is lost. Then the operator drops a route
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -203,7 +204,7 @@
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.folder, "LANG=C", "BULRUSHLOCK_BOOT=" + path}
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.command.Start(); err != nil {
+	if err := startLocked(n.command); err != nil {
 		return err
 	}
 	n.ended = make(chan struct{})
@@ -215,6 +216,26 @@
 	return nil
 }
 
+// starts passes commands to the goroutine that starts them.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		// A child is killed when the thread that has started it ends, so this one never does.
+		runtime.LockOSThread()
+		for f := range starts {
+			f()
+		}
+	}()
+}
+
+// startLocked starts a command in a thread that lives as long as this process.
+func startLocked(c *exec.Cmd) error {
+	failed := make(chan error)
+	starts <- func() { failed <- c.Start() }
+	return <-failed
+}
+
 // logPath returns the path of the log of the node's process.
 func (n *node) logPath() string { return filepath.Join(n.fleet.folder, n.ip+".log") }
 
