feat(core/gossip): the log tells whether an accepted version may be stale

The lines rules and fleet named the source of a version but not whether the platform was allowed to answer with an older one. TestVersionFromStaleReadIsLoggedAsSuch fails without the change.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -198,7 +198,11 @@
 	if change.Fleet {
 		kind = effect.KindFleet
 	}
-	out = append(out, effect.LogEvent{Kind: kind, Text: fmt.Sprintf("revision %d from %s", e.Revision, sourceName(e.From))})
+	text := fmt.Sprintf("revision %d from %s", e.Revision, sourceName(e.From))
+	if e.MayBeStale {
+		text += ", may be stale"
+	}
+	out = append(out, effect.LogEvent{Kind: kind, Text: text})
 	confirmation, out := g.confirmFromPlatform(e, out)
 	change.Freshness = confirmation.Freshness
 	return change, g.announceNewVersion(e.At, random, out)
