fix(core/gossip): a node without peers no longer acts on stale reads beyond its start

Cause: a node that knows no peers allowed stale responses of the platform for its first eight reads without peers, 1 to 3 s apart, in its whole life. That is meant for the start of a fleet, but it held for each node that had lost all peers, and for one that never had any. The instance list was read in the same way.

Why this works: stale responses are allowed until the document was confirmed once, and for at most 2.5 s from the start of the node, before it counts as in contact. Then it reads current responses, which the platform holds until a change.

--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -488,6 +488,61 @@
 	}
 }
 
+// A node that is left without peers must have new rules in force as soon as any other: a stale
+// response of the platform must not keep it on old ones.
+func TestPublishedRulesReachLastNode(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		nodes int
+		// restarts makes the last node start again when the others are lost.
+		restarts bool
+		// delisted removes the others from the instance list soon after they are lost.
+		delisted bool
+	}{
+		{"alone from the start", 1, false, false},
+		{"peers leave the list", 2, false, true},
+		{"many peers leave the list", smallFleet, false, true},
+		{"starts again and peers leave the list", smallFleet, true, true},
+		{"starts again beside listed peers", smallFleet, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				if late := runLastNode(qt.New(t), seed, test.nodes, test.restarts, test.delisted); late != "" {
+					t.Errorf("seed %d: %s", seed, late)
+				}
+			}
+		})
+	}
+}
+
+// runLastNode runs a fleet whose nodes but one are lost for good while rules are published. It
+// returns the first case of late rules, or an empty text.
+func runLastNode(c *qt.C, seed uint64, nodes int, restarts, delisted bool) string {
+	const restartTime, listingTime, length = time.Second, 4 * time.Second, 25 * time.Second
+	f := newContactFleet(c, nodes, seed)
+	lost := contactStart
+	if nodes > 1 {
+		lost = lost.Add(8 * time.Second)
+		f.advance(lost)
+	}
+	last := f.random.IntN(nodes)
+	f.inject(outage{from: lost, to: lost.Add(2 * length), nodes: f.nodesWhere(func(i int) bool { return i != last }), down: true})
+	if restarts {
+		f.inject(outage{from: lost, to: lost.Add(restartTime), nodes: map[int]bool{last: true}, down: true})
+	}
+	if delisted {
+		f.after(listingTime, func() {
+			text, err := fleet.Format(f.instances[last : last+1])
+			c.Assert(err, qt.IsNil)
+			f.list = text
+		})
+	}
+	for at := lost; at.Before(lost.Add(length)); at = at.Add(700 * time.Millisecond) {
+		f.published = append(f.published, at)
+	}
+	return f.advance(lost.Add(length))
+}
+
 // runMixedFaults runs a fleet through random faults and publications of rules. It returns the
 // first node in contact that is late, or an empty text.
 func runMixedFaults(c *qt.C, nodes int, seed uint64) string {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -70,9 +70,13 @@
 	// It is shorter than readStagger, so that peers learn of a read before they start a
 	// redundant one.
 	minBroadcastInterval = 100 * time.Millisecond
-	// maxStaleReads is the maximum number of reads of a document for which a node that knows no
-	// peers accepts a response that is a few seconds stale.
-	maxStaleReads = 8
+	// maxStaleTime is the time after its start for which a node that knows no peers accepts responses
+	// of the platform that are a few seconds stale. It is below the time after which a node counts as
+	// in contact with the platform and must act on current rules.
+	maxStaleTime = 2500 * time.Millisecond
+	// staleStagger and maxStaleSteps spread the ends of the stale reads of a fleet that starts.
+	staleStagger  = 150 * time.Millisecond
+	maxStaleSteps = 6
 	// maxChangeReads is the number of consecutive reads that request only the changes of a
 	// document. A fault in the changes that it applied lasts no longer.
 	maxChangeReads = 32
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -26,11 +26,12 @@
 	// aloneUntil is the time until which a node that knows no peers waits after a stale read. While
 	// a whole fleet starts, its instance list grows within seconds.
 	aloneUntil time.Time
+	// staleUntil is the time from which a node that knows no peers accepts no stale responses; zero
+	// stands for maxStaleTime after the start of the node.
+	staleUntil time.Time
 	// fallbackAt is the time at which the platform is read instead of a peer that announced a newer
 	// version but cannot be queried; zero if no such read is planned.
 	fallbackAt time.Time
-	// staleReads is the number of reads so far that allowed a response a few seconds stale.
-	staleReads int
 	// platformLost reports that the last read from the platform failed.
 	platformLost bool
 	// reader reports that this node read the document from the platform and has not given up the
@@ -69,8 +70,7 @@
 	r.startRead(at)
 	f := effect.FetchDocument{Document: d, After: g.version(d).Revision}
 	switch {
-	case len(g.peers) == 0 && r.staleReads < maxStaleReads:
-		r.staleReads++
+	case g.acceptsStale(d, at):
 		f.AllowStale = true
 	case f.After > 0:
 		f.MaxHold = longPollTimeout
@@ -79,6 +79,29 @@
 	return append(out, f)
 }
 
+// acceptsStale reports whether a read of a document may return a response that is a few seconds
+// stale. A node without peers that could inform it of newer versions accepts one only while its
+// whole fleet may be starting, and only until the document is confirmed.
+func (g *Gossip) acceptsStale(d event.Document, at time.Time) bool {
+	end := g.reads[d].staleUntil
+	if end.IsZero() {
+		end = g.started.Add(maxStaleTime)
+	}
+	return len(g.peers) == 0 && !g.isConfirmed(d) && at.Before(end)
+}
+
+// pauseAfterStaleRead delays the next read of a node that knows no peers after a stale one. In a
+// fleet, half of the nodes end their stale reads after maxStaleTime, a quarter of them one
+// staleStagger earlier, and so on: the few first ones inform the others.
+func (g *Gossip) pauseAfterStaleRead(at time.Time, d event.Document, random uint64) {
+	r := &g.reads[d]
+	if r.staleUntil.IsZero() {
+		steps := min(bits.TrailingZeros64(random), maxStaleSteps)
+		r.staleUntil = g.started.Add(maxStaleTime - time.Duration(steps)*staleStagger)
+	}
+	r.aloneUntil = earlierOf(at.Add(jitter(aloneDelay, random)), r.staleUntil)
+}
+
 // startRead records that a read from the platform starts.
 func (r *readState) startRead(at time.Time) {
 	r.platformReadPending = true
@@ -152,6 +175,14 @@
 	return b
 }
 
+// earlierOf returns the earlier of two times.
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // sinceConfirmed returns the time since a document was last confirmed. If it never was, it
 // counts from the start of the node and adds rereadAge, so that the first read is due at once.
 func (g *Gossip) sinceConfirmed(d event.Document, now time.Time) time.Duration {
@@ -209,7 +240,7 @@
 	g.finishRead(e.Document, e.From)
 	verdict, err := g.offer(e)
 	if e.MayBeStale {
-		g.reads[e.Document].aloneUntil = e.At.Add(jitter(aloneDelay, random))
+		g.pauseAfterStaleRead(e.At, e.Document, random)
 	}
 	if err != nil {
 		g.backOff(e.Document, e.From, random)
