fix(core/gossip): a node that starts beside lost peers reads the platform itself

What callers would see: a node of a large fleet that starts again while all its listed peers are gone acts on its first, stale read for up to 5 s.

Cause: it leaves the reads to the nodes before it in the reading order, 200 ms each, and the read of a node that no peer reaches was only meant for nodes that have settled, 5 s after their start.

With 13 nodes the turn comes in time.

Why this works: a node that has heard from no peer for 2.5 s since its start reads the platform.

--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -504,6 +504,7 @@
 		{"many peers leave the list", smallFleet, false, true},
 		{"starts again and peers leave the list", smallFleet, true, true},
 		{"starts again beside listed peers", smallFleet, true, false},
+		{"starts again beside many listed peers", 60, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(8) {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -37,6 +37,8 @@
 	// isolationTime is the time without a message from any peer after which this node reads the
 	// platform itself. It leaves time for the responses of a round at overdueAge.
 	isolationTime = overdueAge + readStagger
+	// startIsolationTime is the same for a node that has not settled yet.
+	startIsolationTime = 2500 * time.Millisecond
 	// outageInterval is the time between two such rounds, and outageFanout the number of peers in
 	// each, once the rules are older than outageAge.
 	outageInterval = 500 * time.Millisecond
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -220,9 +220,14 @@
 func (g *Gossip) isSettled(now time.Time) bool { return now.Sub(g.started) > settleTime }
 
 // isIsolated reports whether this node has got no message from any of its peers lately, so that it
-// must read the platform itself.
+// must read the platform itself. A node that has just started leaves its peers more time, as it may
+// be the first of its fleet.
 func (g *Gossip) isIsolated(now time.Time) bool {
-	return len(g.peers) > 0 && g.isSettled(now) && now.Sub(g.heardAt) > isolationTime
+	limit := startIsolationTime
+	if g.isSettled(now) {
+		limit = isolationTime
+	}
+	return len(g.peers) > 0 && now.Sub(laterOf(g.heardAt, g.started)) > limit
 }
 
 // isConfirmed reports whether a document was ever confirmed.
