fix(io): the server does not read a request body that is being forwarded

Cause: when a handler begins its response, the server of net/http reads the rest of the request body itself, up to 256 KB, unless the handler has asked for full duplex. A goroutine of io/pool was forwarding that body at the same time, lost what the server took, and sent the last chunk at the end that the server had reached. With a length, the missing bytes broke the exchange. The listener for other nodes did the same.

Why this works: both handlers use full duplex for bodies that they forward, so that one reader is left.

--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -26,6 +26,8 @@
 	effects  <-chan effect.Effect
 	buffered []byte
 	stream   io.Reader
+	// streamed is the body that stream reads.
+	streamed *proto.StreamedBody
 	// bodyRead reports whether any of stream was read.
 	bodyRead atomic.Bool
 	// tooLarge reports that a body of unknown length exceeded the limit of its
@@ -111,9 +113,11 @@
 		cr.cancel(e.Ticket)
 	case effect.RelayResponse:
 		cr.writeResponse(e.Ticket)
+		cr.finishBody()
 		return true
 	case effect.FetchResponse:
 		cr.writeStoredResponse(e)
+		cr.finishBody()
 		return true
 	case effect.ReplyFromEntry:
 		cr.writeOutcome(e)
--- /dev/null
+++ b/io/front/early_test.go
@@ -0,0 +1,207 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// receivedBody is a request body as a backend server read it to its end; err is nil if it looked
+// complete.
+type receivedBody struct {
+	bytes []byte
+	err   error
+}
+
+// earlyServer is a backend server that sends its whole response before it reads the body of a
+// request.
+type earlyServer struct {
+	address netip.AddrPort
+	// responded receives a value for each response that was sent, and bodies each body.
+	responded chan struct{}
+	bodies    chan receivedBody
+}
+
+// newEarlyServer starts a backend server that sends response.
+func newEarlyServer(c *qt.C, response string) earlyServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	s := earlyServer{address: netip.MustParseAddrPort(l.Addr().String()), responded: make(chan struct{}, 8), bodies: make(chan receivedBody, 8)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, response)
+		}
+	}()
+	return s
+}
+
+// serve serves one connection.
+func (s earlyServer) serve(conn net.Conn, response string) {
+	defer func() { _ = conn.Close() }()
+	b := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		s.responded <- struct{}{}
+		body, err := io.ReadAll(r.Body)
+		s.bodies <- receivedBody{bytes: body, err: err}
+		if err != nil {
+			return
+		}
+	}
+}
+
+const (
+	// uploadPiece is the size in bytes of the pieces in which a body is sent, and uploadPause the
+	// time between two of them, within which a reader that waits for the body gets its turn.
+	uploadPiece = 8_000
+	uploadPause = 3 * time.Millisecond
+	// hangTime is the time after which a response counts as held back.
+	hangTime = 10 * time.Second
+)
+
+// startUpload sends the head of a request and the part of its body that a node buffers before it
+// forwards the request. The returned function sends the rest and the end of the body.
+func startUpload(c *qt.C, conn net.Conn, target string, body []byte, chunked bool) (finish func()) {
+	framing, format := fmt.Sprintf("Content-Length: %d", len(body)), "%s"
+	if chunked {
+		framing, format = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%%s\r\n", uploadPiece)
+	}
+	send := func(part []byte) {
+		for ; len(part) > 0; part = part[uploadPiece:] {
+			if _, err := fmt.Fprintf(conn, format, part[:uploadPiece]); err != nil {
+				// The node may close the connection once the response is over.
+				return
+			}
+			time.Sleep(uploadPause)
+		}
+	}
+	_, err := fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: desk\r\n%s\r\n\r\n", target, framing)
+	c.Assert(err, qt.IsNil)
+	const buffered = (maxBufferedBody/uploadPiece + 1) * uploadPiece
+	send(body[:buffered])
+	return func() {
+		send(body[buffered:])
+		if chunked {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	}
+}
+
+// readFinalResponse reads a response after informational (1xx) ones.
+func readFinalResponse(c *qt.C, b *bufio.Reader) *http.Response {
+	for {
+		r, err := http.ReadResponse(b, nil)
+		c.Assert(err, qt.IsNil)
+		if r.StatusCode >= http.StatusOK {
+			return r
+		}
+		c.Assert(r.Body.Close(), qt.IsNil)
+	}
+}
+
+// A backend server that responds before it has read a long body must get the rest of that body or
+// a broken connection, never a body with a hole that looks complete; and its response must reach
+// the caller whole.
+func TestEarlyResponseLeavesNoHoleInBody(t *testing.T) {
+	text := string(bytes.Repeat([]byte("r"), 90_000))
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	body := make([]byte, 25*uploadPiece)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(body)
+	for _, chunked := range []bool{false, true} {
+		for _, target := range []string{"PUT /lines/a", "POST /claims"} {
+			for _, nodes := range []int{1, 2} {
+				t.Run(fmt.Sprintf("%s, chunked %v, %d nodes", target, chunked, nodes), func(t *testing.T) {
+					c := qt.New(t)
+					s := newEarlyServer(c, response)
+					n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
+					if nodes == 2 {
+						n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
+					}
+					conn, err := net.Dial("tcp", addressOf(n.callers).String())
+					c.Assert(err, qt.IsNil)
+					defer func() { _ = conn.Close() }()
+					finish := startUpload(c, conn, target, body, chunked)
+					<-s.responded
+					uploaded := make(chan struct{})
+					go func() {
+						finish()
+						close(uploaded)
+					}()
+					reader := bufio.NewReader(conn)
+					got := readFinalResponse(c, reader)
+					gotText, err := io.ReadAll(got.Body)
+					c.Check(err, qt.IsNil)
+					c.Check(got.Body.Close(), qt.IsNil)
+					c.Check(string(gotText) == text, qt.IsTrue)
+					<-uploaded
+					received := <-s.bodies
+					isWhole := received.err == nil && bytes.Equal(received.bytes, body)
+					c.Check(isWhole || received.err != nil, qt.IsTrue, qt.Commentf("%d of %d bytes looked complete", len(received.bytes), len(body)))
+					checkConnectionIsKept(c, conn, reader)
+				})
+			}
+		}
+	}
+}
+
+// checkConnectionIsKept checks that a further request on a connection is served.
+func checkConnectionIsKept(c *qt.C, conn net.Conn, reader *bufio.Reader) {
+	_, err := io.WriteString(conn, "GET /lines/b HTTP/1.1\r\nHost: desk\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	r := readFinalResponse(c, reader)
+	c.Check(r.StatusCode, qt.Equals, http.StatusOK)
+	_, err = io.Copy(io.Discard, r.Body)
+	c.Check(err, qt.IsNil)
+	c.Check(r.Body.Close(), qt.IsNil)
+}
+
+// An early response must not wait until the caller has sent its body, as a caller may wait for the
+// response first.
+func TestEarlyResponseDoesNotWaitForBody(t *testing.T) {
+	body := make([]byte, 25*uploadPiece)
+	for _, size := range []int{10, 90_000} {
+		for _, target := range []string{"PUT /lines/a", "POST /claims"} {
+			for _, nodes := range []int{1, 2} {
+				t.Run(fmt.Sprintf("%s, %d bytes, %d nodes", target, size, nodes), func(t *testing.T) {
+					c := qt.New(t)
+					s := newEarlyServer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, bytes.Repeat([]byte("r"), size)))
+					n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
+					if nodes == 2 {
+						n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
+					}
+					conn, err := net.Dial("tcp", addressOf(n.callers).String())
+					c.Assert(err, qt.IsNil)
+					defer func() { _ = conn.Close() }()
+					finish := startUpload(c, conn, target, body, true)
+					c.Assert(conn.SetReadDeadline(time.Now().Add(hangTime)), qt.IsNil)
+					reader := bufio.NewReader(conn)
+					r := readFinalResponse(c, reader)
+					text, err := io.ReadAll(r.Body)
+					c.Assert(err, qt.IsNil)
+					c.Check(r.Body.Close(), qt.IsNil)
+					c.Check(text, qt.HasLen, size)
+					finish()
+					checkConnectionIsKept(c, conn, reader)
+				})
+			}
+		}
+	}
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -104,8 +104,7 @@
 		return nil
 	}
 	if cr.request.ContentLength > maxBufferedBody {
-		cr.stream, e.SingleUseBody = &readTracker{reader: cr.request.Body, read: &cr.bodyRead}, true
-		return nil
+		return cr.streamBody(e, nil)
 	}
 	c := http.NewResponseController(cr.writer)
 	if err := c.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
@@ -119,14 +118,36 @@
 		return &BodyError{Cause: err}
 	}
 	if len(b) > maxBufferedBody {
-		cr.stream, e.SingleUseBody = &readTracker{reader: io.MultiReader(bytes.NewReader(b), cr.request.Body), read: &cr.bodyRead}, true
-		return nil
+		return cr.streamBody(e, b)
 	}
 	cr.buffered = b
 	e.Size = int64(len(b))
 	return nil
 }
 
+// streamBody makes the body of the request one that is forwarded while it arrives. The argument
+// start is what was already read of it.
+func (cr *callerRequest) streamBody(e *event.Request, start []byte) error {
+	body, err := proto.StreamBody(cr.writer, cr.request)
+	if err != nil {
+		return &BodyError{Cause: err}
+	}
+	cr.streamed, e.SingleUseBody = body, true
+	cr.stream = &readTracker{reader: io.MultiReader(bytes.NewReader(start), body), read: &cr.bodyRead}
+	return nil
+}
+
+// finishBody ends a streamed body after the response. A caller that sends more of it than the server
+// discards loses its connection, as does one whose request has failed.
+func (cr *callerRequest) finishBody() {
+	if cr.streamed == nil || cr.writer.Header().Get("Connection") == "close" {
+		return
+	}
+	if err := cr.streamed.Finish(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // body returns the body for one attempt and its length in bytes, or -1 if
 // unknown. A body of unknown length is limited to limit bytes.
 func (cr *callerRequest) body(limit int64) (body io.Reader, length int64) {
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -19,6 +19,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	body, err := proto.StreamBody(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	attempt.Body = body
 	g.loop.MergeStamp(r.Header.Get(proto.HeaderClock))
 	response, err := g.Exchange(r.Context(), attempt)
 	if err != nil {
@@ -26,6 +32,12 @@
 	}
 	defer closeBody(response.Body)
 	g.writeResponse(r.Context(), w, attempt, response)
+	if attempt.Length == 0 {
+		return
+	}
+	if err := body.Finish(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // parseAttempt parses the attempt that r carries. It returns the typed error of
@@ -93,6 +105,7 @@
 	setLoad(h, response.Load)
 	if response.Outcome != effect.Run {
 		h.Set(proto.HeaderReason, string(response.Reason))
+		h.Set("Content-Length", "0")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
