--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -299,7 +299,7 @@
 		example:  example,
 		parse: func(record *T, text string) bool {
 			*field(record) = text
-			return isName(text)
+			return IsName(text)
 		},
 		format: func(record *T) string { return *field(record) },
 	}
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -33,7 +33,7 @@
 
 // readService parses a service rule.
 func (p *parser) readService(words []word, o Origin) {
-	if len(words) < 2 || !isName(words[1].text) {
+	if len(words) < 2 || !IsName(words[1].text) {
 		at := words[min(1, len(words)-1)]
 		p.addFault(at.column, "the service needs "+expectedName, "write service NAME, such as service ledger")
 		return
@@ -114,7 +114,7 @@
 	case hasService && hasSplit:
 		p.addFault(split.column, "the route has both service and split", "delete one of the two")
 	}
-	if hasService && isName(r.Service) {
+	if hasService && IsName(r.Service) {
 		p.serviceRefs = append(p.serviceRefs, serviceRef{service: r.Service, line: p.line, column: service.column})
 	}
 	for _, weighted := range r.Split {
--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -19,8 +19,8 @@
 // expectedName describes the valid names.
 const expectedName = "a name of 1 to 32 characters from a-z, 0-9 and -"
 
-// isName reports whether text is a valid name of a service, data centre or instance.
-func isName(text string) bool {
+// IsName reports whether text is a valid name of a service, data centre or instance.
+func IsName(text string) bool {
 	if text == "" || len(text) > maxNameBytes {
 		return false
 	}
@@ -118,7 +118,7 @@
 	for item := range strings.SplitSeq(text, ",") {
 		name, weight, found := strings.Cut(item, ":")
 		n, ok := parseDigits(weight)
-		if !found || !ok || n > maxWeight || !isName(name) || seen[name] || len(services) == maxSplitServices {
+		if !found || !ok || n > maxWeight || !IsName(name) || seen[name] || len(services) == maxSplitServices {
 			return nil, false
 		}
 		seen[name] = true
