fix(core/fleet): an instance with an impossible number of slots is not listed

The guard of that instance derives its limits from multiples of the number, which overflow: its queues hold nothing, and it admits without a limit until the backend server reports its load.

Cause: the number was only checked for being positive.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -30,6 +30,9 @@
 // maxIncarnationBytes is the maximum length of Instance.Incarnation in bytes.
 const maxIncarnationBytes = 200
 
+// maxSlots is the maximum of Instance.Slots, as in the rules. Limits are computed from multiples of it.
+const maxSlots = 65_536
+
 // namePattern matches the names of instances, data centres and services.
 var namePattern = regexp.MustCompile(`^[a-z0-9-]{1,32}$`)
 
@@ -172,8 +175,8 @@
 	if len(e.Life) > maxIncarnationBytes {
 		return fmt.Sprintf("life is longer than %d bytes", maxIncarnationBytes)
 	}
-	if e.Slots < 0 {
-		return fmt.Sprintf("slots %d is negative", e.Slots)
+	if e.Slots < 0 || e.Slots > maxSlots {
+		return fmt.Sprintf("slots %d is not from 0 to %d", e.Slots, maxSlots)
 	}
 	if e.State != stateLive && e.State != stateLeaving {
 		return fmt.Sprintf("state %q is neither %q nor %q", e.State, stateLive, stateLeaving)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -51,6 +51,8 @@
 		{"port 0", strings.Replace(validList, ":8001", ":0", 1), `.* entry 0: nodes .* is not a unicast IP address .*`},
 		{"missing address", strings.Replace(validList, `"control":"10.0.0.1:8002",`, "", 1), `.* entry 0: control .*`},
 		{"host name", strings.Replace(validList, "10.0.0.1:8001", "host:8001", 1), `.* cannot be decoded: .*`},
+		{"slots below 0", strings.Replace(validList, `"state"`, `"slots":-1,"state"`, 1), `.* entry 0: slots -1 is not from 0 to 65536`},
+		{"slots above the limit", strings.Replace(validList, `"state"`, `"slots":65537,"state"`, 1), `.* entry 0: slots 65537 is not .*`},
 		{"bad state", strings.Replace(validList, "live", "gone", 1), `.* entry 0: state "gone" is neither .*`},
 		{"name twice", validList[:len(validList)-1] + "," + validList[1:], `.* entry 1: duplicate name "a-1"`},
 	}
