fix(io/proto): a body whose rest is malformed ends its connection

What callers could do since: after an early response, send a malformed chunk and then a request, which the node served as one of its own.

Cause: the server of net/http ignores an error of closing the request body when the handler has asked for full duplex, and takes what follows for the next request. The error of Close was dropped.

Evidence: found on reading the change.

Why this works: the error of closing the body aborts the connection, after the response was sent. The rest of a body is also awaited for 30 s at most, not without end.

--- a/io/front/early_test.go
+++ b/io/front/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -205,3 +206,37 @@
 		}
 	}
 }
+
+// What follows a chunk that is malformed must not be served as a further request of the connection,
+// also where the response has been sent by then.
+func TestMalformedRestOfBodyEndsConnection(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	const hidden = "GET /lines/hidden HTTP/1.1\r\nHost: desk\r\n\r\n"
+	body := make([]byte, 25*uploadPiece)
+	for _, rest := range []string{"x\r\n" + hidden, "1\r\nab\r\n" + hidden, "-1\r\n" + hidden, "\r\n" + hidden} {
+		for _, target := range []string{"PUT /lines/a", "POST /claims"} {
+			t.Run(fmt.Sprintf("%s, %q", target, rest[:4]), func(t *testing.T) {
+				c := qt.New(t)
+				s := newEarlyServer(c, response)
+				n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
+				conn, err := net.Dial("tcp", addressOf(n.callers).String())
+				c.Assert(err, qt.IsNil)
+				defer func() { _ = conn.Close() }()
+				_ = startUpload(c, conn, target, body, true)
+				reader := bufio.NewReader(conn)
+				r := readFinalResponse(c, reader)
+				_, err = io.ReadAll(r.Body)
+				c.Assert(err, qt.IsNil)
+				c.Check(r.Body.Close(), qt.IsNil)
+				_, err = io.WriteString(conn, rest)
+				c.Assert(err, qt.IsNil)
+				c.Assert(conn.SetReadDeadline(time.Now().Add(hangTime)), qt.IsNil)
+				_, err = http.ReadResponse(reader, nil)
+				c.Check(err, qt.IsNotNil)
+				var late net.Error
+				c.Check(errors.As(err, &late) && late.Timeout(), qt.IsFalse)
+				c.Check(len(s.responded), qt.Equals, 1)
+			})
+		}
+	}
+}
--- a/io/proto/stream.go
+++ b/io/proto/stream.go
@@ -5,8 +5,12 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
+// discardTimeout limits the time for which the rest of a request body is discarded.
+const discardTimeout = 30 * time.Second
+
 // StreamedBody is the body of a request that a handler forwards while it writes the response.
 //
 // The server of net/http reads the rest of a body by itself when the response begins, and the
@@ -40,16 +44,21 @@
 
 // Finish sends what was written of the response and discards the rest of the body; later reads fail.
 // If the handler left that to the server, the server could begin to read the next request at the
-// same time, and panic. It returns the error of sending the response.
+// same time, and panic. After an error of Finish the connection must be aborted: it may carry a rest
+// of the body, which the server would take for a request.
 func (b *StreamedBody) Finish() error {
 	if b.ended.Load() {
 		return nil
 	}
-	err := http.NewResponseController(b.writer).Flush()
-	// The server closes the connection if it cannot read the rest.
-	_ = b.body.Close()
-	if errors.Is(err, http.ErrNotSupported) {
-		return nil
+	c := http.NewResponseController(b.writer)
+	for _, step := range []func() error{
+		c.Flush,
+		func() error { return c.SetReadDeadline(time.Now().Add(discardTimeout)) },
+		b.body.Close,
+	} {
+		if err := step(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return err
+		}
 	}
-	return err
+	return nil
 }
