--- a/io/front/early_test.go
+++ b/io/front/early_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// dial connects to the listener for callers of a node that reaches the backend server over the given
+// number of nodes, one or two.
+func (s earlyServer) dial(c *qt.C, nodes int) net.Conn {
+	n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
+	if nodes == 2 {
+		n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
+	}
+	conn, err := net.Dial("tcp", addressOf(n.callers).String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 const (
 	// uploadPiece is the size in bytes of the pieces in which a body is sent, and uploadPause the
 	// time between two of them, within which a reader that waits for the body gets its turn.
@@ -132,13 +145,7 @@
 				t.Run(fmt.Sprintf("%s, chunked %v, %d nodes", target, chunked, nodes), func(t *testing.T) {
 					c := qt.New(t)
 					s := newEarlyServer(c, response)
-					n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
-					if nodes == 2 {
-						n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
-					}
-					conn, err := net.Dial("tcp", addressOf(n.callers).String())
-					c.Assert(err, qt.IsNil)
-					defer func() { _ = conn.Close() }()
+					conn := s.dial(c, nodes)
 					finish := startUpload(c, conn, target, body, chunked)
 					<-s.responded
 					uploaded := make(chan struct{})
@@ -184,13 +191,7 @@
 				t.Run(fmt.Sprintf("%s, %d bytes, %d nodes", target, size, nodes), func(t *testing.T) {
 					c := qt.New(t)
 					s := newEarlyServer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, bytes.Repeat([]byte("r"), size)))
-					n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
-					if nodes == 2 {
-						n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
-					}
-					conn, err := net.Dial("tcp", addressOf(n.callers).String())
-					c.Assert(err, qt.IsNil)
-					defer func() { _ = conn.Close() }()
+					conn := s.dial(c, nodes)
 					finish := startUpload(c, conn, target, body, true)
 					c.Assert(conn.SetReadDeadline(time.Now().Add(hangTime)), qt.IsNil)
 					reader := bufio.NewReader(conn)
@@ -218,14 +219,11 @@
 			t.Run(fmt.Sprintf("%s, %q", target, rest[:4]), func(t *testing.T) {
 				c := qt.New(t)
 				s := newEarlyServer(c, response)
-				n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
-				conn, err := net.Dial("tcp", addressOf(n.callers).String())
-				c.Assert(err, qt.IsNil)
-				defer func() { _ = conn.Close() }()
+				conn := s.dial(c, 1)
 				_ = startUpload(c, conn, target, body, true)
 				reader := bufio.NewReader(conn)
 				r := readFinalResponse(c, reader)
-				_, err = io.ReadAll(r.Body)
+				_, err := io.ReadAll(r.Body)
 				c.Assert(err, qt.IsNil)
 				c.Check(r.Body.Close(), qt.IsNil)
 				_, err = io.WriteString(conn, rest)
