fix(io/front): only one attempt can read a streamed body

Cause: an attempt that was rejected left a goroutine that had sent the head and was on its way to its first read of the body. The entry took a body for unread if nothing had been read so far, and sent it with the next attempt; the goroutine then read the first 32 KB of it.

Why this works: io/lease decides in one step that a body is unread and takes the right to read from the attempt that has ended. A read without the right takes nothing, so that only one attempt ever has bytes of a body, and only who has read all of it writes its end. An attempt with a response keeps the body, which the backend server may read on.

--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -84,7 +84,8 @@
 	Status int
 	// Latency is the time from sending the attempt to receiving the response header.
 	Latency time.Duration
-	// BodyUnread is set if the body can be sent only once and no byte of it was read.
+	// BodyUnread is set if the body can be sent only once, no byte of it was read, and the attempt
+	// cannot read it anymore.
 	BodyUnread bool
 	Random     uint64
 }
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,6 +12,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
+	"bulrushlock/io/lease"
 	"bulrushlock/io/proto"
 )
 
@@ -25,11 +25,10 @@
 	id       uint64
 	effects  <-chan effect.Effect
 	buffered []byte
-	stream   io.Reader
-	// streamed is the body that stream reads.
+	// stream is a body that is forwarded while it arrives, and streamed the part of it that was
+	// not buffered; nil for a buffered body.
+	stream   *lease.Body
 	streamed *proto.StreamedBody
-	// bodyRead reports whether any of stream was read.
-	bodyRead atomic.Bool
 	// tooLarge reports that a body of unknown length exceeded the limit of its
 	// route.
 	tooLarge atomic.Bool
@@ -68,6 +67,9 @@
 func (cr *callerRequest) close() {
 	cr.front.loop.Process(event.RequestEnded{At: time.Now(), ID: cr.id})
 	cr.front.loop.CloseMailbox(cr.id)
+	if cr.stream != nil {
+		cr.stream.Close()
+	}
 	cr.mutex.Lock()
 	defer cr.mutex.Unlock()
 	for _, a := range cr.attempts {
@@ -220,17 +222,18 @@
 	}
 	began := time.Now()
 	response, err := exchanger.Exchange(ctx, attempt)
+	verdict := verdictOf(response, err)
 	ended := event.AttemptEnded{
 		At:         time.Now(),
 		ID:         cr.id,
 		Ticket:     e.Ticket,
-		Verdict:    verdictOf(response, err),
+		Verdict:    verdict,
 		Reason:     string(response.Reason),
 		Guard:      response.Guard,
 		Load:       response.Load,
 		Status:     response.Status,
 		Latency:    time.Since(began),
-		BodyUnread: !cr.bodyRead.Load(),
+		BodyUnread: cr.withdrawBody(verdict),
 		Random:     rand.Uint64(),
 	}
 	if err == nil {
@@ -239,6 +242,13 @@
 	cr.front.loop.Process(ended)
 }
 
+// withdrawBody reports whether a streamed body is unread, so that another attempt may send it. The
+// attempt that has ended then cannot read it anymore. An attempt that has a response keeps the body,
+// which the backend server may read while the response is passed on.
+func (cr *callerRequest) withdrawBody(v event.Verdict) bool {
+	return cr.stream != nil && v != event.Ran && cr.stream.Withdraw()
+}
+
 // storeResponse holds a response until the entry decides whether to use it.
 func (cr *callerRequest) storeResponse(a *pendingAttempt, response proto.Response) {
 	cr.mutex.Lock()
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -16,6 +16,7 @@
 
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
+	"bulrushlock/io/lease"
 	"bulrushlock/io/proto"
 )
 
@@ -133,7 +134,7 @@
 		return &BodyError{Cause: err}
 	}
 	cr.streamed, e.SingleUseBody = body, true
-	cr.stream = &readTracker{reader: io.MultiReader(bytes.NewReader(start), body), read: &cr.bodyRead}
+	cr.stream = lease.New(io.MultiReader(bytes.NewReader(start), body))
 	return nil
 }
 
@@ -155,27 +156,15 @@
 		return bytes.NewReader(cr.buffered), int64(len(cr.buffered))
 	}
 	if cr.request.ContentLength >= 0 {
-		return cr.stream, cr.request.ContentLength
+		return cr.stream.Lend(), cr.request.ContentLength
 	}
-	return &limitedReader{reader: cr.stream, remaining: limit, exceeded: &cr.tooLarge}, -1
+	return &limitedReader{reader: cr.stream.Lend(), remaining: limit, exceeded: &cr.tooLarge}, -1
 }
 
 // errTooLarge is the cause of a BodyError for a body of unknown length that
 // exceeds its limit.
 var errTooLarge = errors.New("body exceeds the size limit of its route")
 
-// readTracker records whether its reader was read.
-type readTracker struct {
-	reader io.Reader
-	read   *atomic.Bool
-}
-
-// Read reads from the body.
-func (u *readTracker) Read(b []byte) (int, error) {
-	u.read.Store(true)
-	return u.reader.Read(b)
-}
-
 // limitedReader fails once more than remaining bytes are read.
 type limitedReader struct {
 	reader    io.Reader
