feat(core/rules): customers, their credentials, and public routes

A rule names each customer with the digests of its credentials, its limit and its priority; a route says whether it needs a credential at all. Digests are looked up in a map. The types that the entry, the attempt and the effects need for it come along: Request.Credential, Attempt.Customer, Forward.Customer and ReasonCredential. Nothing sets them yet.

Faults name their place and never quote the value of a key, which may be a credential that was pasted in place of its digest.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -60,27 +60,28 @@
 
 // The reasons that are reported to callers and entries.
 const (
-	ReasonRoute        Reason = "route"    // no rule matches the method and path
-	ReasonBody         Reason = "body"     // the body is larger than its rule allows
-	ReasonRules        Reason = "rules"    // the node has not loaded any rules yet
-	ReasonDepth        Reason = "depth"    // the calls are nested too deeply
-	ReasonDeadline     Reason = "deadline" // the time left is too short or used up
-	ReasonServers      Reason = "servers"  // no backend server of the service is available for an attempt
-	ReasonOverloaded   Reason = "busy"     // the guard has no capacity for more work
-	ReasonShed         Reason = "shed"     // the backend server itself rejected the request
-	ReasonLeaving      Reason = "leaving"  // the instance is leaving
-	ReasonUnlisted     Reason = "unlisted" // the instance is not in the instance list
-	ReasonOutOfService Reason = "out"      // the rules take the data centre or the instance out of service
-	ReasonAddress      Reason = "address"  // the attempt is addressed to another instance or service
-	ReasonIncarnation  Reason = "life"     // the attempt is addressed to another incarnation of the node
-	ReasonStale        Reason = "old"      // the node's view may be stale and nothing has confirmed it
-	ReasonVoid         Reason = "void"     // the attempt was voided before it arrived
-	ReasonDuplicate    Reason = "repeat"   // the attempt is a duplicate of one that has arrived
-	ReasonLost         Reason = "lost"     // the record of the attempt is lost
-	ReasonKey          Reason = "key"      // the owner of the idempotency key cannot know whether the request ran
-	ReasonBroken       Reason = "broken"   // the connection broke during the exchange
-	ReasonServer       Reason = "server"   // the backend server was unreachable or refused the connection
-	ReasonDisconnected Reason = "gone"     // the sender disconnected
+	ReasonRoute        Reason = "route"      // no rule matches the method and path
+	ReasonCredential   Reason = "credential" // no customer holds the credential of the request
+	ReasonBody         Reason = "body"       // the body is larger than its rule allows
+	ReasonRules        Reason = "rules"      // the node has not loaded any rules yet
+	ReasonDepth        Reason = "depth"      // the calls are nested too deeply
+	ReasonDeadline     Reason = "deadline"   // the time left is too short or used up
+	ReasonServers      Reason = "servers"    // no backend server of the service is available for an attempt
+	ReasonOverloaded   Reason = "busy"       // the guard has no capacity for more work
+	ReasonShed         Reason = "shed"       // the backend server itself rejected the request
+	ReasonLeaving      Reason = "leaving"    // the instance is leaving
+	ReasonUnlisted     Reason = "unlisted"   // the instance is not in the instance list
+	ReasonOutOfService Reason = "out"        // the rules take the data centre or the instance out of service
+	ReasonAddress      Reason = "address"    // the attempt is addressed to another instance or service
+	ReasonIncarnation  Reason = "life"       // the attempt is addressed to another incarnation of the node
+	ReasonStale        Reason = "old"        // the node's view may be stale and nothing has confirmed it
+	ReasonVoid         Reason = "void"       // the attempt was voided before it arrived
+	ReasonDuplicate    Reason = "repeat"     // the attempt is a duplicate of one that has arrived
+	ReasonLost         Reason = "lost"       // the record of the attempt is lost
+	ReasonKey          Reason = "key"        // the owner of the idempotency key cannot know whether the request ran
+	ReasonBroken       Reason = "broken"     // the connection broke during the exchange
+	ReasonServer       Reason = "server"     // the backend server was unreachable or refused the connection
+	ReasonDisconnected Reason = "gone"       // the sender disconnected
 )
 
 // ProbeCandidates probes the loads of a few guards. A CandidatesProbed event follows as soon as
@@ -100,15 +101,20 @@
 
 // Forward sends an attempt of a request to a guard.
 type Forward struct {
-	ID       uint64
-	Ticket   ticket.Ticket
-	Peer     fleet.Instance
-	Route    rules.Route
-	Call     nested.Limits
-	Class    int
-	Key      string
-	FirstUse bool
-	Versions event.Versions
+	ID     uint64
+	Ticket ticket.Ticket
+	Peer   fleet.Instance
+	Route  rules.Route
+	Call   nested.Limits
+	Class  int
+	// Customer is the name of the customer that the request is for, or empty.
+	Customer string
+	// WithholdCredential is set if the rules have customers, so that neither the credential nor
+	// a customer that the caller names is passed on.
+	WithholdCredential bool
+	Key                string
+	FirstUse           bool
+	Versions           event.Versions
 	// Local is set if the guard belongs to this node.
 	Local bool
 	// HedgeDelay is the delay after which a HedgeDelayPassed event is due; 0 requests none.
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -27,6 +27,8 @@
 	Key string
 	// FirstUse is set if the caller states that it has not sent the key before.
 	FirstUse bool
+	// Credential is the digest of the credential that the caller sent, or empty.
+	Credential string
 	// Ticket identifies the attempt whose outcome the caller queries, or is nil.
 	Ticket *ticket.Ticket
 	Call   nested.Limits
--- a/core/event/guard.go
+++ b/core/event/guard.go
@@ -25,6 +25,8 @@
 	Nested bool
 	// Name is the name that the caller gave the request, or empty.
 	Name string
+	// Customer is the name of the customer that the request is for, or empty.
+	Customer string
 	// Key is the Idempotency-Key that this guard must own, or empty.
 	Key string
 	// FirstUse is set if the caller states that it has not sent the key before.
--- a/core/rules/change.go
+++ b/core/rules/change.go
@@ -7,6 +7,7 @@
 const (
 	KindService  Kind = "service"
 	KindRoute    Kind = "route"
+	KindCustomer Kind = "customer"
 	KindBudget   Kind = "budget"
 	KindCentre   Kind = "centre"
 	KindInstance Kind = "instance"
@@ -37,7 +38,7 @@
 type Edit struct {
 	Kind   Kind
 	Action Action
-	// Name is the name of a service, data centre or instance, or the method, path
+	// Name is the name of a service, customer, data centre or instance, or the method, path
 	// and host of a route. It is empty for the budget.
 	Name string
 	// Values holds the keys that differ.
@@ -60,6 +61,7 @@
 		edits = append(edits, e)
 	}
 	edits = append(edits, compareRecords(KindRoute, routeKeys, routeName, before.Routes, after.Routes)...)
+	edits = append(edits, compareRecords(KindCustomer, customerKeys, customerName, before.Customers, after.Customers)...)
 	if values := compareKeys(budgetKeys, &before.Budget, &after.Budget); len(values) > 0 {
 		edits = append(edits, Edit{Kind: KindBudget, Action: ActionChange, Values: values})
 	}
@@ -71,6 +73,9 @@
 // serviceName returns the name of v in an Edit.
 func serviceName(v *Service) string { return v.Name }
 
+// customerName returns the name of c in an Edit.
+func customerName(c *Customer) string { return c.Name }
+
 // routeName returns the name of r in an Edit.
 func routeName(r *Route) string {
 	if r.Host == "" {
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bulrushlock/core/creds"
 )
 
 // Upper bounds of the values of keys.
@@ -24,6 +26,9 @@
 	maxSplitServices  = 64
 	maxDuration       = 24 * time.Hour
 	maxBodyBytes      = 1_000 * gigabyte
+	maxCustomerRate   = 1_000_000 // per second
+	maxBurst          = 1_000_000 // requests
+	maxKeys           = 64
 )
 
 // key parses and formats one KEY=VALUE pair of a rule that is stored in a T.
@@ -39,6 +44,8 @@
 	parse func(record *T, text string) bool
 	// format returns the value in the form that parse accepts.
 	format func(record *T) string
+	// secret is set if an invalid value may be a credential, which no fault quotes.
+	secret bool
 }
 
 // serviceKeys lists the keys of a service rule.
@@ -65,6 +72,15 @@
 	intKey("tries", 1, maxAttempts, "2", func(r *Route) *int { return &r.MaxAttempts }),
 	intKey("rank", 1, maxPriority, "3", func(r *Route) *int { return &r.Priority }),
 	sizeKey("body", "1MB", func(r *Route) *int64 { return &r.MaxBodyBytes }),
+	omitDefault(boolKey("public", func(r *Route) *bool { return &r.Public }), "no"),
+}
+
+// customerKeys lists the keys of a customer rule.
+var customerKeys = []key[Customer]{
+	withRequired(digestsKey("keys", func(c *Customer) *[]string { return &c.Keys })),
+	omitDefault(decimalKey("rate", 0, maxCustomerRate, "50", func(c *Customer) *float64 { return &c.Rate }), "0"),
+	omitDefault(intKey("burst", 0, maxBurst, "50", func(c *Customer) *int { return &c.Burst }), "0"),
+	omitDefault(intKey("rank", 1, maxPriority, "3", func(c *Customer) *int { return &c.Priority }), "0"),
 }
 
 // budgetKeys lists the keys of a budget rule.
@@ -304,3 +320,19 @@
 		format: func(record *T) string { return *field(record) },
 	}
 }
+
+// digestsKey returns a key whose value is a list of digests of credentials.
+func digestsKey[T any](name string, field func(*T) *[]string) key[T] {
+	return key[T]{
+		name:     name,
+		expected: fmt.Sprintf("%s or a list of 1 to %d different digests of %d hexadecimal digits", valueNone, maxKeys, creds.Length),
+		example:  creds.Digest(""),
+		secret:   true,
+		parse: func(record *T, text string) bool {
+			digests, ok := parseDigestList(text)
+			*field(record) = digests
+			return ok
+		},
+		format: func(record *T) string { return formatDigests(*field(record)) },
+	}
+}
--- a/core/rules/lookup.go
+++ b/core/rules/lookup.go
@@ -24,7 +24,9 @@
 	// prefixes maps path prefixes, without the final "*", to the positions of their routes.
 	prefixes map[routePattern]int
 	// lengths holds the distinct prefix lengths, longest first.
-	lengths   []int
+	lengths []int
+	// customers maps the digests of credentials to the positions of their customers.
+	customers map[string]int
 	centres   map[string]struct{}
 	instances map[string]struct{}
 }
@@ -35,6 +37,7 @@
 		services:  make(map[string]int, len(s.Services)),
 		literals:  make(map[routePattern]int),
 		prefixes:  make(map[routePattern]int),
+		customers: make(map[string]int, len(s.Customers)),
 		centres:   make(map[string]struct{}, len(s.CentresOut)),
 		instances: make(map[string]struct{}, len(s.InstancesOut)),
 	}
@@ -44,6 +47,11 @@
 	for i, r := range s.Routes {
 		x.addRoute(r, i)
 	}
+	for i, c := range s.Customers {
+		for _, digest := range c.Keys {
+			x.customers[digest] = i
+		}
+	}
 	for _, o := range s.CentresOut {
 		x.centres[o.Name] = struct{}{}
 	}
@@ -126,6 +134,15 @@
 	return s.Services[i], true
 }
 
+// CustomerOf returns the customer that holds the credential with the given digest.
+func (s *Set) CustomerOf(digest string) (*Customer, bool) {
+	i, ok := s.index.customers[digest]
+	if !ok {
+		return nil, false
+	}
+	return &s.Customers[i], true
+}
+
 // IsOutOfService reports whether the instance or its data centre is out of service.
 func (s *Set) IsOutOfService(instance, centre string) bool {
 	if _, ok := s.index.instances[instance]; ok {
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -44,6 +44,8 @@
 	ruleLines map[string]int
 	// serviceRefs lists the references of routes to services.
 	serviceRefs []serviceRef
+	// holders maps each digest of a credential to the position of its customer in set.
+	holders map[string]int
 }
 
 // serviceRef is a reference of a route to a service, with its position.
@@ -71,6 +73,7 @@
 			ColdRateSlack:   defaultColdRateSlack,
 		}},
 		ruleLines: make(map[string]int),
+		holders:   make(map[string]int),
 	}
 }
 
@@ -96,12 +99,14 @@
 		p.readService(words, o)
 	case "route":
 		p.readRoute(words, o)
+	case "customer":
+		p.readCustomer(words, o)
 	case "budget":
 		p.readBudget(words, o)
 	case "out":
 		p.readOutOfService(words, o)
 	default:
-		p.addFault(words[0].column, fmt.Sprintf("%q is not a kind of rule", words[0].text), "start the line with service, route, budget or out")
+		p.addFault(words[0].column, fmt.Sprintf("%q is not a kind of rule", words[0].text), "start the line with service, route, customer, budget or out")
 	}
 }
 
@@ -193,7 +198,7 @@
 		k := findKey(keys, name)
 		switch _, twice := seen[name]; {
 		case !found || k == nil:
-			p.addFault(w.column, fmt.Sprintf("%q is not a key of a %s rule", w.text, head[0].text), "use "+listKeys(keys))
+			p.addFault(w.column, fmt.Sprintf("%q is not a key of a %s rule", quotable(keys, w.text), head[0].text), "use "+listKeys(keys))
 		case twice:
 			p.addFault(w.column, fmt.Sprintf("key %s is given twice", name), "delete one of the two")
 		default:
@@ -214,7 +219,23 @@
 	if k.parse(record, value) {
 		return
 	}
-	p.addFault(w.column, fmt.Sprintf("%s=%q is not %s", k.name, value, k.expected), "for example, "+k.name+"="+k.example)
+	problem := fmt.Sprintf("%s=%q is not %s", k.name, value, k.expected)
+	if k.secret {
+		problem = fmt.Sprintf("%s is not %s", k.name, k.expected)
+	}
+	p.addFault(w.column, problem, "for example, "+k.name+"="+k.example)
+}
+
+// quotable returns the part of a pair that a fault may quote. In a rule that holds secrets the
+// value of an unknown key may be one.
+func quotable[T any](keys []key[T], pair string) string {
+	for _, k := range keys {
+		if k.secret {
+			name, _, _ := strings.Cut(pair, "=")
+			return name
+		}
+	}
+	return pair
 }
 
 // findKey returns the key with the given name, or nil.
--- a/core/rules/parse_test.go
+++ b/core/rules/parse_test.go
@@ -211,6 +211,14 @@
 			rapid.SampledFrom([]string{"GET", "*"}).Draw(t, "method"), path, rapid.SampledFrom(services).Draw(t, "service"),
 			rapid.Int64Range(0, maxBodyBytes).Draw(t, "body"), comment.Draw(t, "comment"))
 	}
+	digests := rapid.SliceOfNDistinct(rapid.StringMatching(`[0-9a-f]{32}`), 0, 8, rapid.ID).Draw(t, "digests")
+	for _, customer := range rapid.SliceOfNDistinct(name, 0, 4, rapid.ID).Draw(t, "customers") {
+		held := rapid.IntRange(0, len(digests)).Draw(t, "held")
+		rate := rapid.IntRange(1, maxCustomerRate*100).Draw(t, "rate")
+		fmt.Fprintf(&b, "customer %s keys=%s rate=%d.%02d burst=%d rank=%d%s\n", customer, formatDigests(digests[:held]), rate/100, rate%100,
+			rapid.IntRange(0, maxBurst).Draw(t, "burst"), rapid.IntRange(1, maxPriority).Draw(t, "rank"), comment.Draw(t, "comment"))
+		digests = digests[held:]
+	}
 	if rapid.Bool().Draw(t, "budget") {
 		n := rapid.IntRange(0, basisPoints).Draw(t, "retry")
 		fmt.Fprintf(&b, "budget retry=%d.%02d%%%s\n", n/100, n%100, comment.Draw(t, "comment"))
@@ -237,6 +245,10 @@
 		r.Origin.Line = 0
 		bare.Routes = append(bare.Routes, r)
 	}
+	for _, customer := range s.Customers {
+		customer.Origin.Line = 0
+		bare.Customers = append(bare.Customers, customer)
+	}
 	for _, o := range s.CentresOut {
 		o.Origin.Line = 0
 		bare.CentresOut = append(bare.CentresOut, o)
@@ -274,6 +286,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add(validService + validRoute)
 	f.Add(validService + "budget retry=7.25% # a: b\nout centre=a # a: b\nout instance=b # a: b")
+	f.Add(validService + "customer a keys=none # a: b\ncustomer b keys=0123456789abcdef0123456789abcdef rate=0.5 burst=3 rank=1 # a: b")
 	f.Add("route GET /* service=\x00")
 	f.Add("service a slots=1 # \u00a0a\u3000: #:b")
 	f.Fuzz(func(t *testing.T, text string) {
--- a/core/rules/print.go
+++ b/core/rules/print.go
@@ -3,7 +3,7 @@
 import "strings"
 
 // String returns the rules as a text that Parse parses into the same rules: the
-// services, the routes, the budget and the out rules. It includes keys that have their
+// services, the routes, the customers, the budget and the out rules. It includes keys that have their
 // default value, except for empty values and keys whose default is marked as omitted.
 func (s *Set) String() string {
 	var b strings.Builder
@@ -13,6 +13,9 @@
 	for _, r := range s.Routes {
 		writeRule(&b, formatRoute(r), r.Origin)
 	}
+	for _, c := range s.Customers {
+		writeRule(&b, formatCustomer(c), c.Origin)
+	}
 	if s.Budget.Origin.RequestedBy != "" {
 		writeRule(&b, formatBudget(s.Budget), s.Budget.Origin)
 	}
@@ -43,6 +46,10 @@
 // Set.String.
 func (r Route) String() string { return formatRoute(r) }
 
+// String returns the customer rule without its comment. It includes the same keys as
+// Set.String.
+func (c Customer) String() string { return formatCustomer(c) }
+
 // formatService returns the rule of v without its comment.
 func formatService(v Service) string {
 	return "service " + v.Name + formatKeys(serviceKeys, &v)
@@ -53,6 +60,11 @@
 	return "route " + r.Method + " " + r.Path + formatKeys(routeKeys, &r)
 }
 
+// formatCustomer returns the rule of c without its comment.
+func formatCustomer(c Customer) string {
+	return "customer " + c.Name + formatKeys(customerKeys, &c)
+}
+
 // formatBudget returns the rule of b without its comment.
 func formatBudget(b Budget) string {
 	return "budget" + formatKeys(budgetKeys, &b)
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"bulrushlock/core/creds"
 )
 
 // Defaults of the keys that a rule may omit.
@@ -122,6 +124,37 @@
 	}
 }
 
+// readCustomer parses a customer rule.
+func (p *parser) readCustomer(words []word, o Origin) {
+	if len(words) < 2 || !IsName(words[1].text) {
+		at := words[min(1, len(words)-1)]
+		p.addFault(at.column, "the customer needs "+expectedName, "write customer NAME, such as customer patan-desk")
+		return
+	}
+	c := Customer{Name: words[1].text, Origin: o}
+	p.checkDuplicate(words[1].column, "customer "+c.Name)
+	seen := readKeys(p, words[:2], words[2:], customerKeys, &c)
+	p.checkCustomer(c, seen)
+	p.set.Customers = append(p.set.Customers, c)
+}
+
+// checkCustomer reports a credential that another customer holds too, and limits that
+// contradict each other.
+func (p *parser) checkCustomer(c Customer, seen map[string]word) {
+	for _, digest := range c.Keys {
+		if other, ok := p.holders[digest]; ok {
+			held := p.set.Customers[other]
+			p.addFault(seen["keys"].column, fmt.Sprintf("customer %s holds key %s too, on line %d", held.Name, creds.Short(digest), held.Origin.Line),
+				"delete the key from one of the two")
+			continue
+		}
+		p.holders[digest] = len(p.set.Customers)
+	}
+	if c.Burst > 0 && c.Rate == 0 {
+		p.addFault(seen["burst"].column, fmt.Sprintf("burst=%d without a rate limits nothing", c.Burst), "add rate or delete burst")
+	}
+}
+
 // isMethod reports whether text has the form of an HTTP method or is anyMethod.
 func isMethod(text string) bool {
 	if text == anyMethod {
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -20,6 +20,7 @@
 type Set struct {
 	Services     []Service
 	Routes       []Route
+	Customers    []Customer
 	Budget       Budget
 	CentresOut   []OutOfService
 	InstancesOut []OutOfService
@@ -84,7 +85,25 @@
 	Priority int
 	// MaxBodyBytes is the maximum size of the request body in bytes.
 	MaxBodyBytes int64
-	Origin       Origin
+	// Public is set if requests need no credential of a customer.
+	Public bool
+	Origin Origin
+}
+
+// Customer is a party that callers send requests for. If a Set has customers, requests on
+// routes that are not public need a credential of one.
+type Customer struct {
+	Name string
+	// Keys holds the digests of the customer's credentials, as package creds computes them. A
+	// customer without any cannot send requests.
+	Keys []string
+	// Rate is the number of requests per second that all nodes together take from the customer;
+	// 0 means no limit. Burst is the number of requests that they take beyond it at once.
+	Rate  float64
+	Burst int
+	// Priority replaces the priority of the routes for the customer's requests; 0 keeps it.
+	Priority int
+	Origin   Origin
 }
 
 // WeightedService is one service of a route that distributes its requests among several.
--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
+
+	"bulrushlock/core/creds"
 )
 
 // Units of sizes, in bytes.
@@ -136,3 +139,32 @@
 	}
 	return strings.Join(texts, ",")
 }
+
+// valueNone is the value of a list that is empty on purpose.
+const valueNone = "none"
+
+// parseDigestList parses a list of digests of credentials, or valueNone. Each digest may occur
+// only once.
+func parseDigestList(text string) ([]string, bool) {
+	if text == valueNone {
+		return nil, true
+	}
+	digests := strings.Split(text, ",")
+	if len(digests) > maxKeys {
+		return nil, false
+	}
+	for i, d := range digests {
+		if !creds.IsDigest(d) || slices.Contains(digests[:i], d) {
+			return nil, false
+		}
+	}
+	return digests, true
+}
+
+// formatDigests formats digests in the form that parseDigestList accepts.
+func formatDigests(digests []string) string {
+	if len(digests) == 0 {
+		return valueNone
+	}
+	return strings.Join(digests, ",")
+}
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -54,7 +54,9 @@
 	// Nested reports that a running request waits for this one.
 	Nested bool
 	// Name is the request ID that the caller chose or the entry assigned.
-	Name     string
+	Name string
+	// Customer is the name of the customer that the request is for, or empty.
+	Customer string
 	Key      string
 	First    bool
 	Versions event.Versions
