--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -129,6 +129,9 @@
 // isHidden reports whether r can make a line look different from what is parsed:
 // a control character, a bidirectional control, or a line or paragraph separator.
 func isHidden(r rune) bool {
+	if r < utf8.RuneSelf {
+		return r < ' ' || r == '\x7f'
+	}
 	return unicode.IsControl(r) || unicode.In(r, unicode.Bidi_Control, unicode.Zl, unicode.Zp)
 }
 
