feat(core/entry): the entry decides for which customer a request is

Rules with customers ask for a credential on each route that is not public. The entry maps its digest to a customer, whose priority goes before that of the route, and puts the name into the attempt. 404 still comes first.

--- a/core/entry/decisions.go
+++ b/core/entry/decisions.go
@@ -36,6 +36,7 @@
 			{Key: "left_us", Value: req.deadline.Sub(now).Microseconds()},
 		},
 	}
+	d.Facts = appendCustomer(d.Facts, req)
 	d.CandidateLoads = n.recentLoads(now, req)
 	return append(out, d)
 }
@@ -78,14 +79,14 @@
 	return append(out, effect.Decision{
 		Kind: effect.DecisionDone, Name: req.name, Entry: e.Ticket.Entry.Instance, Attempt: e.Ticket.Sequence,
 		Failed: e.Status >= statusServerError,
-		Facts: []effect.Fact{
+		Facts: appendCustomer([]effect.Fact{
 			{Key: "guard", Text: e.Ticket.Guard.Instance},
 			{Key: "status", Value: int64(e.Status)},
 			{Key: "attempts", Value: int64(req.attempts)},
 			{Key: "waited_us", Value: req.waitedBefore.Microseconds()},
 			{Key: "total_us", Value: e.At.Sub(req.arrivedAt).Microseconds()},
 			{Key: "aim_us", Value: req.route.LatencyTarget.Microseconds()},
-		},
+		}, req),
 	})
 }
 
@@ -101,7 +102,7 @@
 func (n *Entry) logFailed(now time.Time, req *request, r effect.ReplyFromEntry, out []effect.Effect) []effect.Effect {
 	return append(out, effect.Decision{
 		Kind: effect.DecisionFailed, Name: req.name, Failed: true, CandidateLoads: n.recentLoads(now, req),
-		Facts: []effect.Fact{
+		Facts: appendCustomer([]effect.Fact{
 			{Key: "outcome", Text: r.Outcome.String()},
 			{Key: "reason", Text: string(r.Reason)},
 			{Key: "service", Text: req.service},
@@ -113,6 +114,6 @@
 			{Key: "takes_us", Value: n.typicalTimeOf(req).Microseconds()},
 			{Key: "aim_us", Value: req.targetTimeLeft(now).Microseconds()},
 			{Key: "retry_us", Value: r.RetryAfter.Microseconds()},
-		},
+		}, req),
 	})
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -45,6 +45,9 @@
 	// ProbeCount is the number of guards whose load the entry probes before it sends a
 	// request. At 0 it relies on the load reports that arrive with responses.
 	ProbeCount int
+	// MaxCredentialAge is the age of the rules up to which a credential that they know counts; 0
+	// means any.
+	MaxCredentialAge time.Duration
 }
 
 // Entry tracks the requests of its callers. It is a reducer: its methods take events and
@@ -80,6 +83,10 @@
 	// callerTimeouts learns, for each class, the time that callers allow for their
 	// requests.
 	callerTimeouts map[int]*waited.Estimator
+	// checking is set while the node checks after a pause whether the rules are current.
+	checking bool
+	// held are the requests whose credential is in doubt, in the order of their arrival.
+	held []event.Request
 }
 
 // route is the part of a routing rule that identifies a class of requests.
@@ -194,11 +201,14 @@
 // SetVersions sets the versions that are sent with attempts.
 func (n *Entry) SetVersions(v event.Versions) { n.versions = v }
 
+// SetChecking sets whether the node checks after a pause whether the rules are current.
+func (n *Entry) SetChecking(checking bool) { n.checking = checking }
+
 // SetProbeCount sets the number of guards that are probed before a request is sent.
 func (n *Entry) SetProbeCount(count int) { n.config.ProbeCount = count }
 
 // InFlight returns the number of requests that are still in progress.
-func (n *Entry) InFlight() int { return len(n.requests) }
+func (n *Entry) InFlight() int { return len(n.requests) + len(n.held) }
 
 // Peer returns the instance with the given name. The result is false if the instance is
 // not listed.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -31,6 +31,10 @@
 	// waitedBefore is the time that the caller had already waited when the request
 	// arrived.
 	waitedBefore time.Duration
+	// credential is the digest of the caller's credential, and customer the name of the customer
+	// that holds it. Both may be empty, and are if the rules have no customers.
+	credential string
+	customer   string
 	// service is the service of the route that executes the request.
 	service string
 	// awaitingLoads is set while load probes for the request are in progress.
@@ -112,24 +116,35 @@
 
 // Request starts to process a caller's request.
 func (n *Entry) Request(e event.Request, out []effect.Effect) []effect.Effect {
+	return n.start(e.At, e, out)
+}
+
+// start starts to process a request that has arrived at the time now or was held until then.
+func (n *Entry) start(now time.Time, e event.Request, out []effect.Effect) []effect.Effect {
 	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
 	if n.rules == nil {
-		return n.reply(e.At, req, effect.NotRun, effect.ReasonRules, out)
+		return n.reply(now, req, effect.NotRun, effect.ReasonRules, out)
 	}
 	r, ok := n.rules.Route(e.Method, e.Host, e.Path)
 	if !ok {
-		return n.reply(e.At, req, effect.NotRun, effect.ReasonRoute, out)
+		return n.reply(now, req, effect.NotRun, effect.ReasonRoute, out)
 	}
 	req.route = r
+	if n.rules.HasCustomers() {
+		var isServed bool
+		if isServed, out = n.checkCredential(now, e, req, out); !isServed {
+			return out
+		}
+	}
 	req.class = n.classes[route{host: r.Host, method: r.Method, path: r.Path}]
 	req.service = n.serviceOf(req, e.Random)
 	req.waitedBefore = n.priorWait(req, e)
 	if e.Size > r.MaxBodyBytes {
-		return n.reply(e.At, req, effect.NotRun, effect.ReasonBody, out)
+		return n.reply(now, req, effect.NotRun, effect.ReasonBody, out)
 	}
 	limits, err := nested.Incoming(e.Call, r.HeaderTimeout)
 	if err != nil {
-		return n.reply(e.At, req, effect.NotRun, limitReason(err), out)
+		return n.reply(now, req, effect.NotRun, limitReason(err), out)
 	}
 	req.limits = limits
 	req.deadline = e.At.Add(limits.TimeLeft)
@@ -137,16 +152,16 @@
 	// Guards keep no record of idempotent attempts, so an idempotent request is sent
 	// again instead.
 	if req.isOutcomeQuery && !r.Idempotent {
-		return n.queryOutcome(e.At, req, 0, out)
+		return n.queryOutcome(now, req, 0, out)
 	}
 	budgets := n.attemptBudgetOf(req.service)
 	budgets.retries.Deposit()
 	budgets.hedges.Deposit()
-	if probed := n.loadProbeTargets(e.At, e.Random, req); len(probed) > 0 {
+	if probed := n.loadProbeTargets(now, e.Random, req); len(probed) > 0 {
 		req.awaitingLoads = true
 		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed})
 	}
-	return n.forward(e.At, e.Random, req, effect.ReasonServers, out)
+	return n.forward(now, e.Random, req, effect.ReasonServers, out)
 }
 
 // serviceOf returns the service that executes req: the service of the route or, if the
@@ -240,6 +255,7 @@
 		Route:      req.route,
 		Call:       limits,
 		Class:      req.class,
+		Customer:   req.customer,
 		Key:        req.key,
 		FirstUse:   req.firstUse,
 		Versions:   n.versions,
@@ -248,6 +264,8 @@
 		TargetLeft: req.targetTimeLeft(now),
 		Nested:     req.isNested(),
 		RateLimit:  p.knownRateLimit(now),
+
+		WithholdCredential: n.rules.HasCustomers(),
 	})
 }
 
@@ -293,7 +311,7 @@
 func (n *Entry) RequestEnded(e event.RequestEnded, out []effect.Effect) []effect.Effect {
 	req, ok := n.requests[e.ID]
 	if !ok {
-		return out
+		return n.dropHeld(e, out)
 	}
 	out = n.cancelAll(req, out)
 	delete(n.requests, e.ID)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -56,6 +56,9 @@
 	// RequireListed makes the node reject new work while the instance list does not contain its
 	// backend server.
 	RequireListed bool
+	// MaxCredentialAge is the age of the rules up to which a credential that they know counts. If
+	// it is 0, a credential counts until rules without it arrive.
+	MaxCredentialAge time.Duration
 }
 
 // Node is the reducer. It is not safe for concurrent use.
@@ -101,7 +104,7 @@
 	recent.Service = c.Service
 	return &Node{
 		config:         c,
-		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount}, p),
+		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount, MaxCredentialAge: c.MaxCredentialAge}, p),
 		guard:          guard.New(guard.Config{Node: self, Centre: c.Centre, Service: c.Service}),
 		gossip:         gossip.New(c.Instance, c.Centre),
 		settled:        settled,
@@ -192,7 +195,7 @@
 
 // stepEntry handles an event for the entry.
 func (n *Node) stepEntry(e event.Event, out []effect.Effect) []effect.Effect {
-	n.entry.SetVersions(n.gossip.Versions(e.Time()))
+	n.updateEntry(e.Time())
 	switch e := e.(type) {
 	case event.Request:
 		if n.guard.Leaving() && e.At.Sub(n.leaveStart) > n.config.DrainTime+callerGrace {
@@ -216,6 +219,21 @@
 	return out
 }
 
+// updateEntry passes on to the entry what this node knows of its documents.
+func (n *Node) updateEntry(at time.Time) {
+	n.entry.SetVersions(n.gossip.Versions(at))
+	n.entry.SetChecking(n.gossip.Freshness() == gossip.Checking)
+}
+
+// resumeHeld judges again the requests whose credentials are in doubt.
+func (n *Node) resumeHeld(at time.Time, out []effect.Effect) []effect.Effect {
+	if !n.entry.HasHeld() {
+		return out
+	}
+	n.updateEntry(at)
+	return n.entry.ResumeHeld(at, out)
+}
+
 // stepGuard handles an event for the guard.
 func (n *Node) stepGuard(e event.Event, out []effect.Effect) []effect.Effect {
 	switch e := e.(type) {
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -29,7 +29,8 @@
 		change = n.gossip.PeerUnreachable()
 	}
 	n.observeMembership(e.Time())
-	return n.apply(e.Time(), change, out)
+	out = n.apply(e.Time(), change, out)
+	return n.resumeHeld(e.Time(), out)
 }
 
 // observeMembership adds the current members of the service to the histories. If a version was
@@ -134,6 +135,7 @@
 	n.lastTick = e.At
 	change, out := n.gossip.Tick(e, paused, out)
 	out = n.apply(e.At, change, out)
+	out = n.resumeHeld(e.At, out)
 	out = n.guard.Tick(e.At, out)
 	if n.guard.NeedsHealthCheck(e.At) && n.healthChecks.Take(e.At, 1) {
 		out = append(out, effect.CheckHealth{Path: n.guard.HealthPath()})
--- a/core/rules/lookup.go
+++ b/core/rules/lookup.go
@@ -134,6 +134,9 @@
 	return s.Services[i], true
 }
 
+// HasCustomers reports whether requests on routes that are not public need a credential.
+func (s *Set) HasCustomers() bool { return len(s.Customers) > 0 }
+
 // CustomerOf returns the customer that holds the credential with the given digest.
 func (s *Set) CustomerOf(digest string) (*Customer, bool) {
 	i, ok := s.index.customers[digest]
