feat(io/front): credentials end at the node that the caller calls

The front digests the bearer credential of a request for the entry. An unknown credential is 401 with WWW-Authenticate. Without customers nothing changes: both headers pass as before, and no header is added between nodes.

--- a/core/doubt/doubt.go
+++ b/core/doubt/doubt.go
@@ -74,17 +74,36 @@
 func (c Case) Judge(now time.Time) Verdict {
 	waited := now.Sub(c.ArrivedAt)
 	mayWait := !c.Full && waited < c.patience()
+	if c.Known {
+		return c.judgeKnown(mayWait)
+	}
+	return c.judgeUnknown(waited, mayWait)
+}
+
+// judgeKnown judges a request with a credential that the rules know.
+func (c Case) judgeKnown(mayWait bool) Verdict {
 	isTooOld := c.MaxAge > 0 && c.RulesAge > c.MaxAge
 	switch {
-	case c.Known && !isTooOld && !(c.Checking && mayWait):
-		return Serve
-	case !c.Known && c.RulesAge <= waited:
+	case mayWait && (isTooOld || c.Checking):
+		return Hold
+	case isTooOld:
+		return Unconfirmed
+	}
+	return Serve
+}
+
+// judgeUnknown judges a request with a credential that the rules do not know.
+func (c Case) judgeUnknown(waited time.Duration, mayWait bool) Verdict {
+	isRecent := c.RulesAge <= recentAge
+	mayBeOnItsWay := c.Checking || waited < propagationTime
+	switch {
+	case c.RulesAge <= waited:
 		// No version that was published before the request arrived brings the credential.
 		return Refuse
-	case !c.Known && c.RulesAge <= recentAge && !(mayWait && (c.Checking || waited < propagationTime)):
-		return Refuse
-	case mayWait:
+	case mayWait && (mayBeOnItsWay || !isRecent):
 		return Hold
+	case isRecent:
+		return Refuse
 	}
 	return Unconfirmed
 }
--- a/core/guard/decisions.go
+++ b/core/guard/decisions.go
@@ -43,7 +43,7 @@
 
 // facts returns the inputs of the decision on e.
 func (g *Guard) facts(e event.Attempt, now time.Time) []effect.Fact {
-	facts := make([]effect.Fact, 0, 14)
+	facts := make([]effect.Fact, 0, 15)
 	facts = append(facts,
 		effect.Fact{Key: "busy", Value: int64(len(g.inFlight))},
 		effect.Fact{Key: "foreign", Value: int64(g.foreign)},
@@ -63,6 +63,9 @@
 	if rate, ok := g.quota.Rate(); ok {
 		facts = append(facts, effect.Fact{Key: "quota_milli", Value: int64(rate * milli)})
 	}
+	if e.Customer != "" {
+		facts = append(facts, effect.Fact{Key: "customer", Text: e.Customer})
+	}
 	if g.isCold(now) {
 		facts = append(facts, effect.Fact{Key: "cold", Value: 1})
 	}
--- a/core/reqlog/reqlog.go
+++ b/core/reqlog/reqlog.go
@@ -125,21 +125,24 @@
 
 // reasonTexts maps the reasons in log lines to explanations.
 var reasonTexts = map[string]string{
-	"busy":     "rejected: no probed backend server had capacity in time",
-	"shed":     "the backend server itself rejected it",
-	"deadline": "the deadline of the route or of the caller passed",
-	"server":   "the backend server was unreachable, or is another incarnation than the listed one",
-	"servers":  "no backend server of the service is listed",
-	"unlisted": "the guard's instance is not in the instance list",
-	"leaving":  "the guard's instance is leaving",
-	"out":      "the operator has taken the data centre or the instance out of service",
-	"rules":    "the entry had not loaded any rules yet",
-	"route":    "no rule matches the request",
-	"body":     "the body is larger than the rule allows",
-	"lost":     "the guard that held it restarted, so it may have run",
-	"broken":   "the connection broke after the request was sent, so it may have run",
-	"life":     "the guard restarted before the attempt arrived",
-	"gone":     "its sender disconnected",
+	"busy":       "rejected: no probed backend server had capacity in time",
+	"shed":       "the backend server itself rejected it",
+	"deadline":   "the deadline of the route or of the caller passed",
+	"server":     "the backend server was unreachable, or is another incarnation than the listed one",
+	"servers":    "no backend server of the service is listed",
+	"unlisted":   "the guard's instance is not in the instance list",
+	"leaving":    "the guard's instance is leaving",
+	"out":        "the operator has taken the data centre or the instance out of service",
+	"rules":      "the entry had not loaded any rules yet",
+	"route":      "no rule matches the request",
+	"old":        "the rules of the node may be out of date, and nobody has confirmed them",
+	"credential": "no customer holds the credential of the request",
+
+	"body":   "the body is larger than the rule allows",
+	"lost":   "the guard that held it restarted, so it may have run",
+	"broken": "the connection broke after the request was sent, so it may have run",
+	"life":   "the guard restarted before the attempt arrived",
+	"gone":   "its sender disconnected",
 }
 
 // Cause returns a one-line explanation of how the request ended.
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -48,13 +48,14 @@
 // maxLinkMegabits is the largest value of the key "link", in megabits per second.
 const maxLinkMegabits = 1_000_000
 
-// Limits and defaults of the keys "drain" and "lag".
+// Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
 	maxDrain     = time.Hour
 	defaultLag   = 2 * time.Minute
 	minLag       = time.Second
 	maxLag       = time.Hour
+	maxRevoke    = time.Hour
 )
 
 // Settings are the settings of a node: its identity, its listeners, the addresses that
@@ -95,6 +96,9 @@
 	// MaxStaleness is the staleness bound of a view. While a view is within the bound, the
 	// owner of an idempotency key is certain. It must be the same on every node.
 	MaxStaleness time.Duration
+	// MaxCredentialAge is the age of the rules up to which a credential that they know counts; 0
+	// means any.
+	MaxCredentialAge time.Duration
 	// Dialect selects the protocol used with callers, the backend server and the
 	// platform: DialectPlain or DialectPlatform.
 	Dialect string
@@ -202,6 +206,7 @@
 		{"platform", s.Platform == o.Platform},
 		{"peers", slices.Equal(s.Peers, o.Peers)},
 		{"lag", s.MaxStaleness == o.MaxStaleness},
+		{"revoke", s.MaxCredentialAge == o.MaxCredentialAge},
 		{"link", s.LinkMegabits == o.LinkMegabits},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -54,6 +54,7 @@
 		{name: "peers", optional: true, read: d.readPeers},
 		{name: "isolated", optional: true, read: d.choiceInto("isolated", &s.Isolated, IsolatedServe, IsolatedReject)},
 		{name: "drain", optional: true, read: d.durationInto("drain", &s.DrainTime, 0, maxDrain)},
+		{name: "revoke", optional: true, read: d.durationInto("revoke", &s.MaxCredentialAge, 0, maxRevoke)},
 		{name: "lag", optional: true, read: d.durationInto("lag", &s.MaxStaleness, minLag, maxLag)},
 	}
 	return d
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -251,6 +251,8 @@
 		MaxStaleness:  s.MaxStaleness,
 		ProbeCount:    s.ProbeCount,
 		RequireListed: s.Dialect == conf.DialectPlatform,
+
+		MaxCredentialAge: s.MaxCredentialAge,
 	}, pick.NewLoadAware())
 	d.loop = loop.New(n, loop.Options{
 		Instance:    s.Instance,
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -190,6 +190,10 @@
 	header := make(http.Header, len(cr.request.Header)+1)
 	proto.CopyHeader(header, cr.request.Header)
 	cr.front.options.Dialect.SetCallerHeader(header, cr.front.options.Service)
+	if e.WithholdCredential {
+		header.Del(headerCredential)
+		cr.front.options.Dialect.SetCustomerHeader(header, "")
+	}
 	return proto.Attempt{
 		Ticket:        e.Ticket,
 		Peer:          e.Peer,
@@ -207,6 +211,7 @@
 		TargetLeft:    e.TargetLeft,
 		Nested:        e.Nested,
 		Name:          cr.name,
+		Customer:      e.Customer,
 		Key:           e.Key,
 		First:         e.FirstUse,
 		Versions:      e.Versions,
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -49,6 +49,11 @@
 // server at server. Its instance list maps filing-1 to the guard at nodes, or
 // to its own guard if nodes is zero.
 func newTestNode(c *qt.C, name string, server netip.AddrPort, nodes netip.AddrPort) testNode {
+	return newTestNodeWith(c, testRules, name, server, nodes)
+}
+
+// newTestNodeWith is newTestNode with other rules.
+func newTestNodeWith(c *qt.C, rules, name string, server netip.AddrPort, nodes netip.AddrPort) testNode {
 	self := ticket.NodeID{Instance: name, Incarnation: 1}
 	n := node.New(node.Config{Instance: name, Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewLoadAware())
 	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Execute: func(effect.Effect) {}})
@@ -75,7 +80,7 @@
 		{Name: "filing-1", Centre: "north", Service: "filing", ForwardAddr: nodes, ControlAddr: nodes},
 	})
 	c.Assert(err, qt.IsNil)
-	l.Process(event.DocumentRead{At: time.Now(), Document: event.Rules, Text: testRules, Revision: 1})
+	l.Process(event.DocumentRead{At: time.Now(), Document: event.Rules, Text: rules, Revision: 1})
 	l.Process(event.DocumentRead{At: time.Now(), Document: event.Fleet, Text: text, Revision: 1})
 	return p
 }
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -131,6 +131,9 @@
 		}
 		cr.writer.Header().Set("Retry-After", cr.front.options.Dialect.FormatRetryAfter(after))
 	}
+	if p.Status == http.StatusUnauthorized {
+		cr.writer.Header().Set("WWW-Authenticate", credentialScheme)
+	}
 	if cr.stream != nil {
 		// Otherwise the response would not be sent until the caller has sent the
 		// whole body.
@@ -150,6 +153,8 @@
 	switch e.Reason {
 	case effect.ReasonRoute:
 		return http.StatusNotFound
+	case effect.ReasonCredential:
+		return http.StatusUnauthorized
 	case effect.ReasonBody:
 		return http.StatusRequestEntityTooLarge
 	case effect.ReasonDepth:
@@ -171,6 +176,9 @@
 func detailOf(e effect.ReplyFromEntry) string {
 	switch e.Outcome {
 	case effect.NotRun:
+		if e.Reason == effect.ReasonCredential {
+			return "the request did not run and will not; it needs the credential of a customer"
+		}
 		return "the request did not run and will not; it is safe to send it again"
 	case effect.Running:
 		if e.Reason == effect.ReasonKey {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushlock/core/creds"
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
 	"bulrushlock/io/lease"
@@ -60,6 +61,8 @@
 		FirstUse: r.Header.Get(proto.HeaderFirst) == "yes",
 		Call:     info.Call,
 		Random:   rand.Uint64(),
+
+		Credential: credentialOf(r.Header),
 	}
 	if text := r.Header.Get(proto.HeaderTicket); text != "" {
 		t, err := ticket.Parse(text)
@@ -92,12 +95,34 @@
 		return ""
 	}
 	h := sha256.New()
-	for _, part := range []string{r.Header.Get("Authorization"), r.Method, r.URL.RequestURI(), key} {
+	for _, part := range []string{r.Header.Get(headerCredential), r.Method, r.URL.RequestURI(), key} {
 		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
 	return hex.EncodeToString(h.Sum(nil)[:keyDigestSize])
 }
 
+const (
+	// headerCredential holds the credential of a caller.
+	headerCredential = "Authorization"
+	// credentialScheme is the only authentication scheme whose credentials rules name.
+	credentialScheme = "Bearer"
+)
+
+// credentialOf returns the digest of the credential in h, or an empty string if there is none, or
+// not exactly one.
+func credentialOf(h http.Header) string {
+	values := h[headerCredential]
+	if len(values) != 1 {
+		return ""
+	}
+	scheme, credential, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+	credential = strings.TrimSpace(credential)
+	if credential == "" || !strings.EqualFold(scheme, credentialScheme) {
+		return ""
+	}
+	return creds.Digest(credential)
+}
+
 // readBody buffers a small body in memory. A larger one is streamed and can be
 // sent only once.
 func (cr *callerRequest) readBody(e *event.Request) error {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -119,6 +119,7 @@
 		TargetLeft: attempt.TargetLeft,
 		Nested:     attempt.Nested,
 		Name:       attempt.Name,
+		Customer:   attempt.Customer,
 		Key:        attempt.Key,
 		FirstUse:   attempt.First,
 		Rules:      attempt.Versions.Rules,
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -52,6 +52,8 @@
 		Length: r.ContentLength,
 		Key:    r.Header.Get(proto.HeaderPrefix + "Key"),
 		Name:   r.Header.Get(proto.HeaderID),
+
+		Customer: r.Header.Get(proto.HeaderCustomer),
 	}
 	var err error
 	if attempt.Ticket, err = ticket.Parse(r.Header.Get(proto.HeaderTicket)); err != nil {
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -93,6 +93,9 @@
 	r.Host = attempt.Host
 	r.Header = make(http.Header, len(attempt.Header)+4)
 	proto.CopyHeader(r.Header, attempt.Header)
+	if attempt.Customer != "" {
+		ah.gate.options.Dialect.SetCustomerHeader(r.Header, attempt.Customer)
+	}
 	ah.gate.options.Dialect.SetLimitHeaders(r.Header, proto.RequestLimits{ID: attempt.Name, Call: attempt.Call, TimeLeft: e.TimeLeft, Incarnation: e.Incarnation})
 	attempt.Body = &ah.requestBody
 	proto.SetBody(r, attempt)
--- a/io/proto/dialect.go
+++ b/io/proto/dialect.go
@@ -18,6 +18,9 @@
 	ParseRequest(h http.Header) (RequestInfo, error)
 	// SetCallerHeader adds the name of the calling service to the headers of a request.
 	SetCallerHeader(h http.Header, service string)
+	// SetCustomerHeader sets the name of the customer that a request is for. An empty name
+	// removes the one that a caller may have sent.
+	SetCustomerHeader(h http.Header, customer string)
 	// SetLimitHeaders adds the limits of a request to the headers sent to the backend
 	// server.
 	SetLimitHeaders(h http.Header, limits RequestLimits)
@@ -86,6 +89,15 @@
 // SetCallerHeader does nothing: this dialect does not send the calling service.
 func (Plain) SetCallerHeader(http.Header, string) {}
 
+// SetCustomerHeader sets HeaderCustomer.
+func (Plain) SetCustomerHeader(h http.Header, customer string) {
+	if customer == "" {
+		h.Del(HeaderCustomer)
+		return
+	}
+	h.Set(HeaderCustomer, customer)
+}
+
 // SetLimitHeaders sets the call header and the request ID.
 func (Plain) SetLimitHeaders(h http.Header, limits RequestLimits) {
 	h.Set(HeaderCall, limits.Call.NoRetry().String())
--- a/io/proto/header.go
+++ b/io/proto/header.go
@@ -18,6 +18,7 @@
 	HeaderVersions = HeaderPrefix + "Versions"
 	HeaderAttempt  = HeaderPrefix + "Attempt"
 	HeaderCall     = HeaderPrefix + "Call"
+	HeaderCustomer = HeaderPrefix + "Customer"
 	HeaderFirst    = HeaderPrefix + "First"
 	HeaderClock    = HeaderPrefix + "Clock"
 	HeaderID       = HeaderPrefix + "Id"
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -117,6 +117,9 @@
 	if attempt.RateLimit > 0 {
 		r.Header.Set(proto.HeaderQuota, proto.FormatQuota(attempt.RateLimit))
 	}
+	if attempt.Customer != "" {
+		r.Header.Set(proto.HeaderCustomer, attempt.Customer)
+	}
 	if attempt.Key != "" {
 		r.Header.Set(proto.HeaderPrefix+"Key", attempt.Key)
 	}
