--- a/cmd/checkreport.go
+++ b/cmd/checkreport.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
+	"bulrushlock/core/creds"
 	"bulrushlock/core/rules"
 )
 
@@ -141,10 +143,31 @@
 	return kind
 }
 
+// formatDigests formats what changes in a list of digests: the start of each added or removed one.
+func formatDigests(v checkedValue) string {
+	before, after := strings.Split(v.Before, ","), strings.Split(v.After, ",")
+	var b strings.Builder
+	for _, digest := range after {
+		if !slices.Contains(before, digest) {
+			b.WriteString(" +" + creds.Short(digest))
+		}
+	}
+	for _, digest := range before {
+		if !slices.Contains(after, digest) {
+			b.WriteString(" -" + creds.Short(digest))
+		}
+	}
+	return b.String()
+}
+
 // formatValues formats the values of a changed rule, each preceded by a space.
 func formatValues(values []checkedValue) string {
 	var b strings.Builder
 	for _, v := range values {
+		if v.Key == rules.KeyDigests {
+			b.WriteString(" " + v.Key + formatDigests(v))
+			continue
+		}
 		fmt.Fprintf(&b, " %s %s -> %s", v.Key, v.Before, v.After)
 	}
 	return b.String()
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bulrushlock/core/creds"
 	"bulrushlock/core/rules"
 	"bulrushlock/io/admin"
 	"bulrushlock/io/fetch"
@@ -23,6 +24,7 @@
 	path   string
 	host   string
 	rules  string
+	digest string
 	node   netip.AddrPort
 	format string
 }
@@ -41,6 +43,10 @@
 	Path    string        `json:"path"`
 	Route   explainedRule `json:"route"`
 	Service explainedRule `json:"service"`
+	// Access says who may send the request; it is empty if the rules have no customers.
+	Access string `json:"access,omitempty"`
+	// Customer is the rule of the customer that holds the credential; nil if there is none.
+	Customer *explainedRule `json:"customer,omitempty"`
 	// Candidates is nil if the flag --node is not set.
 	Candidates *admin.Peers `json:"candidates,omitempty"`
 }
@@ -62,6 +68,22 @@
 	return fmt.Sprintf("explain: no rule matches %s %s, so a node answers not-run with reason route", e.method, e.path)
 }
 
+// noCustomerError is returned for a credential that no customer holds, on a route that needs one.
+type noCustomerError struct {
+	digest string
+}
+
+// Error returns a message with the start of the digest and how a node responds to it.
+func (e *noCustomerError) Error() string {
+	return fmt.Sprintf("explain: no customer holds the credential %s, so a node answers not-run with reason credential", creds.Short(e.digest))
+}
+
+// Values of explainReport.Access.
+const (
+	accessPublic   = "public: needs no credential"
+	accessCustomer = "customers: needs the credential of one"
+)
+
 // registerExplain adds the command that shows how a request is routed.
 func registerExplain(a *kingpin.Application, s streams) {
 	var f explainFlags
@@ -74,6 +96,7 @@
 	c.Arg("path", "The path of the request, such as /lines/7.").Required().StringVar(&f.path)
 	c.Flag("host", "The host of the request, without a port.").StringVar(&f.host)
 	c.Flag("rules", "The rules file.").PlaceHolder("FILE").StringVar(&f.rules)
+	c.Flag("digest", "The digest of the caller's credential: the first 32 digits of its SHA-256.").PlaceHolder("DIGEST").StringVar(&f.digest)
 	c.Flag("node", "The operators' listener of a node.").PlaceHolder("IP:PORT").SetValue(addressValue{address: &f.node})
 	formatFlag(c, &f.format)
 	c.Action(func(*kingpin.ParseContext) error {
@@ -141,15 +164,15 @@
 	name string
 }
 
-// explain finds the rule of a request. It fails with a *failedError that wraps a
-// *noRouteError.
+// explain finds the rules of a request. It fails with a *failedError that wraps a
+// *noRouteError or a *noCustomerError.
 func explain(f explainFlags, set *rules.Set) (explanation, error) {
 	route, ok := set.Route(f.method, f.host, f.path)
 	if !ok {
 		return explanation{}, &failedError{cause: &noRouteError{method: f.method, path: f.path}}
 	}
 	service, _ := set.Service(route.Service)
-	return explanation{
+	r := explanation{
 		explainReport: explainReport{
 			Method:  f.method,
 			Path:    f.path,
@@ -157,7 +180,29 @@
 			Service: newExplainedRule(service.String(), service.Origin),
 		},
 		name: route.Service,
-	}, nil
+	}
+	return r, r.addCustomer(f.digest, route, set)
+}
+
+// addCustomer adds who may send the request, and the customer that holds the credential with the
+// given digest, which may be empty. It fails with a *failedError that wraps a *noCustomerError.
+func (r *explainReport) addCustomer(digest string, route rules.Route, set *rules.Set) error {
+	if !set.HasCustomers() {
+		return nil
+	}
+	r.Access = accessCustomer
+	if route.Public {
+		r.Access = accessPublic
+	}
+	customer, ok := set.CustomerOf(digest)
+	switch {
+	case ok:
+		rule := newExplainedRule(customer.String(), customer.Origin)
+		r.Customer = &rule
+	case digest != "" && !route.Public:
+		return &failedError{cause: &noCustomerError{digest: digest}}
+	}
+	return nil
 }
 
 // newExplainedRule returns a rule with its origin.
@@ -169,7 +214,14 @@
 func writeExplain(w io.Writer, r explanation) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "%s %s\n", r.Method, r.Path)
-	for _, rule := range []explainedRule{r.Route, r.Service} {
+	if r.Access != "" {
+		_, _ = fmt.Fprintln(t, r.Access)
+	}
+	shown := []explainedRule{r.Route, r.Service}
+	if r.Customer != nil {
+		shown = append(shown, *r.Customer)
+	}
+	for _, rule := range shown {
 		_, _ = fmt.Fprintf(t, "line %d\t%s\n\tasked for by %s: %s\n", rule.Line, rule.Rule, rule.Who, rule.Why)
 	}
 	if r.Candidates != nil {
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -75,9 +75,12 @@
 	omitDefault(boolKey("public", func(r *Route) *bool { return &r.Public }), "no"),
 }
 
+// KeyDigests is the key of a customer rule whose value is a list of digests.
+const KeyDigests = "keys"
+
 // customerKeys lists the keys of a customer rule.
 var customerKeys = []key[Customer]{
-	withRequired(digestsKey("keys", func(c *Customer) *[]string { return &c.Keys })),
+	withRequired(digestsKey(KeyDigests, func(c *Customer) *[]string { return &c.Keys })),
 	omitDefault(decimalKey("rate", 0, maxCustomerRate, "50", func(c *Customer) *float64 { return &c.Rate }), "0"),
 	omitDefault(intKey("burst", 0, maxBurst, "50", func(c *Customer) *int { return &c.Burst }), "0"),
 	omitDefault(intKey("rank", 1, maxPriority, "3", func(c *Customer) *int { return &c.Priority }), "0"),
@@ -188,14 +191,14 @@
 func decimalKey[T any](name string, low, high float64, example string, field func(*T) *float64) key[T] {
 	return key[T]{
 		name:     name,
-		expected: fmt.Sprintf("a number from %v to %v with at most two decimals", low, high),
+		expected: fmt.Sprintf("a number from %s to %s with at most two decimals", formatDecimal(low), formatDecimal(high)),
 		example:  example,
 		parse: func(record *T, text string) bool {
 			n, ok := parseHundredths(text)
 			*field(record) = float64(n) / 100
 			return ok && *field(record) >= low && *field(record) <= high
 		},
-		format: func(record *T) string { return strconv.FormatFloat(*field(record), 'f', -1, 64) },
+		format: func(record *T) string { return formatDecimal(*field(record)) },
 	}
 }
 
--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -69,6 +69,9 @@
 	return n, ok && whole != ""
 }
 
+// formatDecimal formats a number without an exponent.
+func formatDecimal(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 // formatPercent formats a fraction from 0 to 1 as a percentage.
 func formatPercent(fraction float64) string {
 	return strconv.FormatFloat(math.Round(fraction*basisPoints)/100, 'f', -1, 64) + "%"
