--- a/core/entry/credential.go
+++ b/core/entry/credential.go
@@ -14,9 +14,6 @@
 // hold a body in memory.
 const maxHeld = 256
 
-// counterHeld counts the requests that were held.
-const counterHeld = "credential_held"
-
 // checkCredential finds the customer whose credential e bears, for rules that have customers. The
 // customer's priority takes precedence over that of the route. If isServed is false, the request
 // is held or has got its reply.
@@ -47,7 +44,7 @@
 	case doubt.Hold:
 		n.held = append(n.held, e)
 		if now.Equal(e.At) {
-			out = append(out, effect.IncrementCounter{Name: counterHeld})
+			out = append(out, effect.IncrementCounter{Name: "credential_held"})
 		}
 		return false, out
 	case doubt.Refuse:
