feat(io/soak): credentials come and go under faults

One holds the callers' credential in all versions, which must never be refused; the other gets a new credential with each version, and loses the one before the last. Strangers send claims with a credential that no rules hold; none may run. The backend server's echo tells the customer and whether a credential arrived.

--- a/io/fake/server.go
+++ b/io/fake/server.go
@@ -53,6 +53,10 @@
 	Length int64 `json:"length"`
 	// Sum is the SHA-256 hash of the request body in hexadecimal.
 	Sum string `json:"sum"`
+	// Customer is the name of the customer that the request is for.
+	Customer string `json:"customer,omitempty"`
+	// HasCredential reports that the request bears a credential.
+	HasCredential bool `json:"credential,omitempty"`
 }
 
 // Server is a fake of a backend server.
@@ -168,6 +172,9 @@
 		ID:     requestID(r),
 		Length: n,
 		Sum:    hex.EncodeToString(h.Sum(nil)),
+
+		Customer:      r.Header.Get("Bulrushlock-Customer"),
+		HasCredential: r.Header.Get("Authorization") != "",
 	}, err
 }
 
--- a/io/soak/deployment.go
+++ b/io/soak/deployment.go
@@ -76,9 +76,11 @@
 	platformAddress netip.AddrPort
 	platformProxy   *proxy
 	client          *http.Client
-	// mutex guards evacuations, which counts the ongoing evacuations of each data centre.
+	// mutex guards evacuations, which counts the ongoing evacuations of each data centre, and
+	// versions, the number of rules published before the current ones.
 	mutex       sync.Mutex
 	evacuations map[string]int
+	versions    int
 }
 
 // StartError reports a part of the deployment that did not start or become ready.
@@ -191,7 +193,7 @@
 		return &StartError{Name: "list", Cause: err}
 	}
 	rulesFile, listFile := filepath.Join(d.folder, "rules"), filepath.Join(d.folder, "instances")
-	for name, content := range map[string]string{rulesFile: rulesText, listFile: text} {
+	for name, content := range map[string]string{rulesFile: rulesText + customersText(0), listFile: text} {
 		if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
 			return &StartError{Name: name, Cause: err}
 		}
@@ -298,7 +300,8 @@
 	} else {
 		d.evacuations[centre]--
 	}
-	text := rulesText
+	d.versions++
+	text := rulesText + customersText(d.versions)
 	for name, count := range d.evacuations {
 		if count > 0 && len(d.evacuations) > 0 && name != centres[0] {
 			text += fmt.Sprintf("out centre=%s   # soak: an order\n", name)
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -27,6 +27,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bulrushlock/io/fake"
 )
 
 // Options configure a Soak.
@@ -70,6 +72,8 @@
 	violations     []string
 	recovered      bool
 	rulesRevisions map[string]uint64
+	// strangers are the IDs of the claims with a credential that no rules hold.
+	strangers []string
 }
 
 // result is what a caller observed of one request.
@@ -152,6 +156,9 @@
 			all.Go(func() { s.sendRequests(sendCtx, n, fmt.Sprintf("%d-%d-%d", s.options.Seed, i, k)) })
 		}
 	}
+	for i, n := range s.deployment.instances {
+		all.Go(func() { s.sendAsStranger(sendCtx, n, fmt.Sprintf("%d-%d-stranger", s.options.Seed, i)) })
+	}
 	all.Go(func() { s.monitor(sendCtx) })
 	began := time.Now()
 	var faults sync.WaitGroup
@@ -176,6 +183,7 @@
 		next()
 	}
 	all.Wait()
+	s.checkCredentials()
 	return ctx.Err()
 }
 
@@ -270,6 +278,7 @@
 		return
 	}
 	r.Header.Set("Id", id)
+	r.Header.Set("Authorization", "Bearer "+steadyCredential)
 	c := result{id: id, isClaim: claim, outcome: s.exchange(client, r, id)}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -289,13 +298,19 @@
 		return "none"
 	}
 	outcome := resp.Header.Get("Bulrushlock-Outcome")
+	if resp.StatusCode == http.StatusUnauthorized {
+		s.addViolation("request %s was refused, though all rules hold its credential", id)
+	}
 	if outcome != "run" || resp.StatusCode != http.StatusOK {
 		return outcome
 	}
-	var echo struct{ ID string }
+	var echo fake.Echo
 	if err := json.Unmarshal(text, &echo); err != nil || echo.ID != id {
 		s.addViolation("response to %s does not match it: %q", id, text)
 	}
+	if echo.Customer != steadyCustomer || echo.HasCredential {
+		s.addViolation("%s reached its backend server for customer %q, with credential: %v", id, echo.Customer, echo.HasCredential)
+	}
 	return outcome
 }
 
