fix(core/doubt): a credential that may be on its way waits half a second

A version is in force on the last nodes up to 0.78 s after it was published (the table in docs/CAPACITY.md). After 300 ms a node with young rules said 401 to a credential that the version brought, and a 401 is final. One time less to explain.

--- a/core/doubt/doubt.go
+++ b/core/doubt/doubt.go
@@ -23,10 +23,8 @@
 import "time"
 
 const (
-	// propagationTime is the time that a published version usually needs to reach all nodes. Until
-	// a request is older, a version that brings its credential may be on its way.
-	propagationTime = 300 * time.Millisecond
-	// maxWait is the longest time for which a request is held.
+	// maxWait is the longest time for which a request is held. A published version usually reaches
+	// all nodes in less.
 	maxWait = 500 * time.Millisecond
 	// maxWaitShare is the largest share of the time that its caller allows for which a request is
 	// held.
@@ -94,15 +92,13 @@
 
 // judgeUnknown judges a request with a credential that the rules do not know.
 func (c Case) judgeUnknown(waited time.Duration, mayWait bool) Verdict {
-	isRecent := c.RulesAge <= recentAge
-	mayBeOnItsWay := c.Checking || waited < propagationTime
 	switch {
 	case c.RulesAge <= waited:
 		// No version that was published before the request arrived brings the credential.
 		return Refuse
-	case mayWait && (mayBeOnItsWay || !isRecent):
+	case mayWait:
 		return Hold
-	case isRecent:
+	case c.RulesAge <= recentAge:
 		return Refuse
 	}
 	return Unconfirmed
