--- a/core/node/credential_test.go
+++ b/core/node/credential_test.go
@@ -1,10 +1,12 @@
 package node_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"bulrushlock/core/creds"
 	"bulrushlock/core/effect"
@@ -161,3 +163,108 @@
 	c.Check(countForwards(out), qt.Equals, 0)
 	c.Check(replies(h.tick(500*time.Millisecond)), qt.DeepEquals, []effect.Reason{effect.ReasonStale})
 }
+
+// credentialModel drives a node by random events and knows what its callers may see.
+type credentialModel struct {
+	*harness
+	t *rapid.T
+	// revision is the newest one that was published; held is the one that the node has read.
+	revision, held uint64
+	// withdrawn maps each version to the credential that it lacks, of 0 to 3.
+	withdrawn map[uint64]int
+	// open maps the requests without a reply to their credentials, and arrivedAt to their times.
+	open      map[uint64]int
+	arrivedAt map[uint64]time.Time
+}
+
+// text returns the rules of a version: the credentials 0 to 3, except the one that is withdrawn.
+func (m *credentialModel) text(revision uint64) string {
+	text := ruleText
+	for credential := range 4 {
+		keys := creds.Digest(fmt.Sprint(credential))
+		if credential == m.withdrawn[revision] {
+			keys = "none"
+		}
+		text += fmt.Sprintf("customer c%d keys=%s # Asha: test\n", credential, keys)
+	}
+	return text
+}
+
+// step passes an event to the node and checks the effects: a request is sent only by rules that hold
+// its credential and for the customer of it, and refused for its credential only by rules that do not.
+func (m *credentialModel) step(e event.Event) {
+	if read, ok := e.(event.DocumentRead); ok {
+		m.held = read.Revision
+	}
+	for _, e := range m.node.Step(e, nil) {
+		switch e := e.(type) {
+		case effect.Forward:
+			credential := m.open[e.ID]
+			if m.withdrawn[m.held] == credential || e.Customer != fmt.Sprintf("c%d", credential) {
+				m.t.Fatalf("request with credential %d is sent for %q by revision %d, which withdraws %d", credential, e.Customer, m.held, m.withdrawn[m.held])
+			}
+			delete(m.open, e.ID)
+		case effect.ReplyFromEntry:
+			if e.Reason == effect.ReasonCredential && m.withdrawn[m.held] != m.open[e.ID] {
+				m.t.Fatalf("request with credential %d is refused by revision %d", m.open[e.ID], m.held)
+			}
+			delete(m.open, e.ID)
+		}
+	}
+	for id := range m.open {
+		if waited := m.now.Sub(m.arrivedAt[id]); waited > 600*time.Millisecond {
+			m.t.Fatalf("request %d waits for %v", id, waited)
+		}
+	}
+}
+
+// Whatever versions come, and however long nobody confirms them, each request is soon sent or
+// answered, by the rules that the node holds at that moment.
+func TestCredentialsUnderRandomEvents(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		h := newCustomerHarness(c, time.Duration(rapid.SampledFrom([]int{0, 5}).Draw(t, "max"))*time.Second)
+		m := &credentialModel{harness: h, t: t, revision: 1, held: 1, withdrawn: map[uint64]int{}, open: make(map[uint64]int), arrivedAt: make(map[uint64]time.Time)}
+		publish := func(t *rapid.T) {
+			m.revision++
+			m.withdrawn[m.revision] = rapid.IntRange(0, 4).Draw(t, "withdrawn")
+		}
+		read := func(*rapid.T) {
+			m.step(event.DocumentRead{At: m.now, Document: event.Rules, Revision: m.revision, Text: m.text(m.revision)})
+		}
+		publish(t)
+		read(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": publish,
+			"read":    read,
+			"confirm": func(*rapid.T) {
+				if m.held == m.revision {
+					m.step(event.DocumentUnchanged{At: m.now, Document: event.Rules, Revision: m.revision})
+				}
+			},
+			"peer": func(t *rapid.T) {
+				versions := m.node.Versions(m.now)
+				versions.Age = time.Duration(rapid.IntRange(0, 30_000).Draw(t, "age")) * time.Millisecond
+				m.step(event.VersionsReceived{At: m.now, Peer: "b", Versions: versions, QueriedAt: m.now})
+			},
+			"tick": func(t *rapid.T) {
+				for range rapid.IntRange(1, 60).Draw(t, "ticks") {
+					m.now = m.now.Add(50 * time.Millisecond)
+					m.step(event.Tick{At: m.now})
+				}
+			},
+			"request": func(t *rapid.T) {
+				m.sequence++
+				credential := rapid.IntRange(0, 3).Draw(t, "credential")
+				m.open[m.sequence], m.arrivedAt[m.sequence] = credential, m.now
+				m.step(event.Request{At: m.now, ID: m.sequence, Method: "POST", Path: "/lines", Credential: creds.Digest(fmt.Sprint(credential))})
+			},
+			"pause": func(*rapid.T) {
+				m.now = m.now.Add(time.Minute)
+				for id := range m.open {
+					m.arrivedAt[id] = m.now
+				}
+			},
+		})
+	})
+}
