fix(core/doubt): nothing is served by credential while rules are checked after a pause

A request that was held before a pause outlasted its wait in the pause, and the node served it at its first event afterwards, by rules that it was just about to check: the credential could be withdrawn meanwhile. While the check goes on, such a request, and those that find no room to wait, are now told that they have not run (503) instead of being served.

--- a/core/doubt/doubt.go
+++ b/core/doubt/doubt.go
@@ -80,14 +80,14 @@
 
 // judgeKnown judges a request with a credential that the rules know.
 func (c Case) judgeKnown(mayWait bool) Verdict {
-	isTooOld := c.MaxAge > 0 && c.RulesAge > c.MaxAge
+	mayBeWithdrawn := c.Checking || c.MaxAge > 0 && c.RulesAge > c.MaxAge
 	switch {
-	case mayWait && (isTooOld || c.Checking):
+	case !mayBeWithdrawn:
+		return Serve
+	case mayWait:
 		return Hold
-	case isTooOld:
-		return Unconfirmed
 	}
-	return Serve
+	return Unconfirmed
 }
 
 // judgeUnknown judges a request with a credential that the rules do not know.
--- a/core/node/credential_test.go
+++ b/core/node/credential_test.go
@@ -264,6 +264,8 @@
 				for id := range m.open {
 					m.arrivedAt[id] = m.now
 				}
+				// The node holds the same rules until after its first event.
+				m.step(event.Tick{At: m.now})
 			},
 		})
 	})
