--- a/core/entry/credential.go
+++ b/core/entry/credential.go
@@ -76,10 +76,11 @@
 	}
 	held := n.held[at]
 	n.held = slices.Delete(n.held, at, at+1)
-	return append(out, effect.Decision{Kind: effect.DecisionDisconnected, Name: held.Name, Facts: []effect.Fact{
-		{Key: "credential", Text: creds.Short(held.Credential)},
-		{Key: "total_us", Value: e.At.Sub(held.At).Microseconds()},
-	}})
+	facts := []effect.Fact{{Key: "total_us", Value: e.At.Sub(held.At).Microseconds()}}
+	return append(out, effect.Decision{
+		Kind: effect.DecisionDisconnected, Name: held.Name,
+		Facts: appendCustomer(facts, &request{credential: held.Credential}),
+	})
 }
 
 // appendCustomer appends to the facts of a decision who sent req: the customer, or else the start of
