--- a/core/rules/value.go
+++ b/core/rules/value.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
+
+	"bulrushlock/core/creds"
 )
 
 // Units of sizes, in bytes.
@@ -66,6 +69,9 @@
 	return n, ok && whole != ""
 }
 
+// formatDecimal formats a number without an exponent.
+func formatDecimal(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 // formatPercent formats a fraction from 0 to 1 as a percentage.
 func formatPercent(fraction float64) string {
 	return strconv.FormatFloat(math.Round(fraction*basisPoints)/100, 'f', -1, 64) + "%"
@@ -136,3 +142,32 @@
 	}
 	return strings.Join(texts, ",")
 }
+
+// valueNone is the value of a list that is empty on purpose.
+const valueNone = "none"
+
+// parseDigestList parses a list of digests of credentials, or valueNone. Each digest may occur
+// only once.
+func parseDigestList(text string) ([]string, bool) {
+	if text == valueNone {
+		return nil, true
+	}
+	digests := strings.Split(text, ",")
+	if len(digests) > maxKeys {
+		return nil, false
+	}
+	for i, d := range digests {
+		if !creds.IsDigest(d) || slices.Contains(digests[:i], d) {
+			return nil, false
+		}
+	}
+	return digests, true
+}
+
+// formatDigests formats digests in the form that parseDigestList accepts.
+func formatDigests(digests []string) string {
+	if len(digests) == 0 {
+		return valueNone
+	}
+	return strings.Join(digests, ",")
+}
