feat(core): a full queue and a reported wait time keep to the rank of an attempt

Change: an attempt that goes before the last one of a full queue, being more timely or as timely and of a higher rank, takes its place (sched.Displace); the one that leaves is told that it has not run. A load probe carries the rank of its request in the spare upper byte of its number, and the guard reports the wait of that rank.

Weighed: waits of all ranks in each report (a longer datagram, which nodes before this version reject); a queue for each rank (its order is by timeliness first).

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -88,6 +88,8 @@
 type ProbeCandidates struct {
 	ID    uint64
 	Peers []fleet.Instance
+	// Priority is that of the request. Guards report the wait time of its rank.
+	Priority int
 }
 
 // BroadcastVersions sends the versions that this node holds to many peers. It expects no response.
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -217,11 +217,20 @@
 	}
 }
 
+// PriorityOf returns the priority of a request that is being processed, or 0 if there is none of that
+// ID.
+func (n *Entry) PriorityOf(id uint64) int {
+	if req, ok := n.requests[id]; ok {
+		return req.route.Priority
+	}
+	return 0
+}
+
 // LoadReported records the load that a peer returned for a load probe.
 func (n *Entry) LoadReported(e event.LoadReported) {
 	n.SetIncarnation(e.Guard)
 	if p, ok := n.peers[e.Guard.Instance]; ok {
-		p.recordLoad(e.Load, e.At)
+		p.recordRankedLoad(e.Load, e.Priority, e.At)
 		if !e.Load.Leaving {
 			p.updateEnding(e.Guard.Incarnation, false, e.At)
 		}
@@ -242,6 +251,7 @@
 		n.eligible = append(n.eligible, p)
 		k := p.candidate(n.config.Node, n.config.Centre)
 		k.TypicalTime = n.typicalTimeOf(req)
+		k.Wait = p.waitOf(req.route.Priority, now)
 		n.candidates = append(n.candidates, k)
 	}
 	if i, ok := n.freshPolicy.Pick(now, random, n.candidates); ok && n.config.ProbeCount > 0 {
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -7,6 +7,7 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/pick"
 	"bulrushlock/core/report"
+	"bulrushlock/core/rules"
 	"bulrushlock/core/ticket"
 )
 
@@ -44,10 +45,32 @@
 	ending      bool
 	endingGuard uint64
 	endingAt    time.Time
+	// waits holds the wait times that the guard reported for each priority since its last report
+	// for the whole queue.
+	waits [rules.MaxPriority + 1]rankedWait
 	// probedAt is the time at which this entry last probed the peer after a failure.
 	probedAt time.Time
 }
 
+// rankedWait is a wait time that a guard reported for one priority.
+type rankedWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// isRecent reports whether the wait time is known and still tells what a request has to expect.
+func (w rankedWait) isRecent(now time.Time) bool {
+	return !w.at.IsZero() && now.Sub(w.at) <= recentLoadAge
+}
+
+// waitOf returns the expected time in the queue of the guard for a request of the given priority.
+func (p *peer) waitOf(priority int, now time.Time) time.Duration {
+	if priority > 0 && priority < len(p.waits) && p.waits[priority].isRecent(now) {
+		return p.waits[priority].wait
+	}
+	return p.load.Wait
+}
+
 // candidate returns the peer in the form that a selection policy takes.
 func (p *peer) candidate(self ticket.NodeID, centre string) pick.Candidate {
 	return pick.Candidate{
@@ -139,10 +162,24 @@
 }
 
 // recordLoad records a load report of the guard and resets sent.
-func (p *peer) recordLoad(l report.Load, at time.Time) {
+func (p *peer) recordLoad(l report.Load, at time.Time) { p.recordRankedLoad(l, 0, at) }
+
+// recordRankedLoad records a load report whose wait time holds for one priority, or for the whole
+// queue if that is 0, and resets sent.
+func (p *peer) recordRankedLoad(l report.Load, priority int, at time.Time) {
 	p.load = l
 	p.reportedAt = at
 	p.sent = 0
+	if priority <= 0 || priority >= len(p.waits) {
+		clear(p.waits[:])
+		return
+	}
+	p.waits[priority] = rankedWait{wait: l.Wait, at: at}
+	for _, w := range p.waits {
+		if w.isRecent(at) {
+			p.load.Wait = max(p.load.Wait, w.wait)
+		}
+	}
 }
 
 // updateLatency adds a sample to the moving average of the latency.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -144,7 +144,7 @@
 	budgets.hedges.Deposit()
 	if probed := n.loadProbeTargets(e.At, e.Random, req); len(probed) > 0 {
 		req.awaitingLoads = true
-		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed})
+		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
 	}
 	return n.forward(e.At, e.Random, req, effect.ReasonServers, out)
 }
--- a/core/entry/target.go
+++ b/core/entry/target.go
@@ -59,7 +59,7 @@
 	if n.wouldMissTarget(e.At, e.Random, req) {
 		if probed := n.loadProbeTargets(e.At, e.Random, req); len(probed) > 0 && req.probeRounds < maxProbeRounds {
 			req.awaitingLoads = true
-			return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed})
+			return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
 		}
 		if p := n.peerForLateRequest(e.At, req); p != nil {
 			return n.send(e.At, e.Random, req, p, out)
@@ -109,12 +109,12 @@
 	if p == nil || req.route.LatencyTarget == 0 || req.isNested() || n.serviceTimes.IsShort(req.class) || now.Sub(p.reportedAt) > recentLoadAge {
 		return false
 	}
-	l := p.load
-	if l.Wait == 0 && l.Limit > 0 {
+	l, wait := p.load, p.waitOf(req.route.Priority, now)
+	if wait == 0 && l.Limit > 0 {
 		return false
 	}
 	takes, ok := n.serviceTimes.ExpectedTime(req.class, l.Slow)
-	return ok && l.Wait+time.Duration(serviceTimeMargin*float64(takes)) > req.targetTimeLeft(now)
+	return ok && wait+time.Duration(serviceTimeMargin*float64(takes)) > req.targetTimeLeft(now)
 }
 
 // targetTimeLeft returns the time left before the latency target of r, or 0 if its route
--- a/core/entry/target_test.go
+++ b/core/entry/target_test.go
@@ -467,3 +467,31 @@
 	}, nil))
 	c.Check(again.Peer.Name, qt.Not(qt.Equals), f.Peer.Name)
 }
+
+// A guard whose queue is full of work of lower priority reports a short wait for a request of a
+// higher one. Its entry sends that request and still rejects the others at once.
+func TestWaitTimeOfOwnPriorityCounts(t *testing.T) {
+	c := qt.New(t)
+	n := newProbingEntry(c)
+	at := learnServiceTime(c, n)
+	const priority, lower = 3, 5
+	report := func(peers []fleet.Instance, priority int, wait time.Duration) []event.LoadReported {
+		loads := reportLoads(at, peers, report.Load{Limit: 7, InFlight: 7, Queued: 12, Slow: 100, Wait: wait})
+		for i := range loads {
+			loads[i].Priority = priority
+		}
+		return loads
+	}
+	s := findEffect[effect.ProbeCandidates](c, n.Request(getRequest(1, "/lines", at, 3*time.Second), nil))
+	c.Check(s.Priority, qt.Equals, priority)
+	for _, l := range report(s.Peers, lower, time.Second) {
+		n.LoadReported(l)
+	}
+	findEffect[effect.Forward](c, n.CandidatesProbed(event.CandidatesProbed{At: at, ID: 1, Loads: report(s.Peers, priority, 20*time.Millisecond)}, nil))
+
+	at = at.Add(time.Second)
+	s = findEffect[effect.ProbeCandidates](c, n.Request(getRequest(2, "/lines", at, 3*time.Second), nil))
+	again := findEffect[effect.ProbeCandidates](c, n.CandidatesProbed(event.CandidatesProbed{At: at, ID: 2, Loads: report(s.Peers, priority, time.Second)}, nil))
+	r := findEffect[effect.ReplyFromEntry](c, n.CandidatesProbed(event.CandidatesProbed{At: at, ID: 2, Loads: report(again.Peers, priority, time.Second)}, nil))
+	c.Check(r.Reason, qt.Equals, effect.ReasonOverloaded)
+}
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -145,6 +145,8 @@
 	At    time.Time
 	Guard ticket.NodeID
 	Load  report.Load
+	// Priority is the one whose wait time Load holds, or 0 if it is that of the whole queue.
+	Priority int
 }
 
 // Time returns the time of the event.
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -217,13 +217,18 @@
 	return g.listed.Slots
 }
 
-// Load returns the load report that is attached to responses.
-func (g *Guard) Load(now time.Time) report.Load {
+// Load returns the load report that is attached to responses. Its wait time is that of the whole
+// queue.
+func (g *Guard) Load(now time.Time) report.Load { return g.LoadFor(now, 0) }
+
+// LoadFor returns the load report whose wait time holds for attempts of the given priority, or for
+// the whole queue if that is 0.
+func (g *Guard) LoadFor(now time.Time, priority int) report.Load {
 	rate, _ := g.quota.Rate()
 	return report.Load{
 		InFlight: g.running(),
 		Queued:   g.priorityQueue.Len() + g.deadlineQueue.Len(),
-		Wait:     g.expectedWait(now),
+		Wait:     g.expectedWait(now, priority),
 		Limit:    g.concurrencyLimit(),
 		Slow:     g.slownessPercent(now),
 		Cold:     g.isCold(now),
--- a/core/guard/load_test.go
+++ b/core/guard/load_test.go
@@ -392,3 +392,34 @@
 	})
 	c.Check(busy >= 10*9 && busy <= 10*11, qt.IsTrue, qt.Commentf("%d", busy))
 }
+
+// TestUrgentRequestsArePlacedInBurstOfUploads replays a burst of long requests of low rank that
+// fills the queue of a backend server, beside a few short ones of the highest rank.
+func TestUrgentRequestsArePlacedInBurstOfUploads(t *testing.T) {
+	c := qt.New(t)
+	r := newSimulation(c)
+	const upload, status = 1, 2
+	r.work = map[int]time.Duration{upload: 150 * time.Millisecond, status: 50 * time.Millisecond}
+	r.checkHealth(0)
+	sent := 0
+	for step := range 3000 {
+		if step%5 == 0 {
+			r.send(1500*time.Millisecond, upload, 3)
+		}
+		if whole, urgent := r.guard.Load(r.now).Wait, r.guard.LoadFor(r.now, 1).Wait; step == 1000 && urgent*4 > whole {
+			c.Errorf("expected wait %v of an urgent request, %v behind the whole queue", urgent, whole)
+		}
+		if step%40 == 0 {
+			r.send(150*time.Millisecond, status, 1)
+			sent++
+		}
+		r.step()
+	}
+	served := 0
+	for arrival := range r.admitted {
+		if r.class[arrival] == status {
+			served++
+		}
+	}
+	c.Check(served >= sent*9/10, qt.IsTrue, qt.Commentf("%d of %d urgent requests were admitted", served, sent))
+}
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -52,13 +52,18 @@
 	return timing.Slowdown(slownessPercent)
 }
 
-// expectedWait returns the expected wait time of one more attempt.
-func (g *Guard) expectedWait(now time.Time) time.Duration {
+// expectedWait returns the expected wait time of one more attempt of the given priority, or of any if
+// that is 0.
+func (g *Guard) expectedWait(now time.Time, priority int) time.Duration {
 	concurrencyLimit := g.concurrencyLimit()
 	if concurrencyLimit == 0 {
 		return 0
 	}
-	return g.waitBehind(now, g.deadlineQueue.Len(), concurrencyLimit)
+	ahead := g.deadlineQueue.Len()
+	if priority > 0 {
+		ahead = g.deadlineQueue.CountTo(priority)
+	}
+	return g.waitBehind(now, ahead, concurrencyLimit)
 }
 
 // waitBehind returns the expected wait time of an attempt that has the given number of
@@ -96,9 +101,17 @@
 	if last := e.At.Add(e.TimeLeft - time.Duration(deadlineMargin*float64(takes))); i.Expires.After(last) {
 		i.Expires = last
 	}
-	if !e.At.Before(i.Expires) || !g.deadlineQueue.Push(i) {
+	if !e.At.Before(i.Expires) {
 		return g.reject(e, effect.ReasonOverloaded, out)
 	}
+	if !g.deadlineQueue.Push(i) {
+		displaced, ok := g.deadlineQueue.Displace(e.At, g.expectedSlowdown(e.At, g.slownessPercent(e.At)), i)
+		if !ok {
+			return g.reject(e, effect.ReasonOverloaded, out)
+		}
+		out = g.reject(g.waiters[displaced], effect.ReasonOverloaded, out)
+		g.deadlineQueue.Push(i)
+	}
 	if !e.Idempotent {
 		g.recordAccepted(e)
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -206,7 +206,8 @@
 	case event.HedgeDelayPassed:
 		return n.entry.HedgeDelayPassed(e, out)
 	case event.CandidatesProbed:
-		n.entry.LoadReported(event.LoadReported{At: e.At, Guard: n.guard.Node(), Load: n.guard.Load(e.At)})
+		priority := n.entry.PriorityOf(e.ID)
+		n.entry.LoadReported(event.LoadReported{At: e.At, Guard: n.guard.Node(), Load: n.guard.LoadFor(e.At, priority), Priority: priority})
 		return n.entry.CandidatesProbed(e, out)
 	case event.RequestEnded:
 		return n.entry.RequestEnded(e, out)
@@ -329,3 +330,6 @@
 
 // Load returns the load report that the guard adds to its responses at the given time.
 func (n *Node) Load(at time.Time) report.Load { return n.guard.Load(at) }
+
+// LoadFor returns the load report whose wait time holds for attempts of the given priority.
+func (n *Node) LoadFor(at time.Time, priority int) report.Load { return n.guard.LoadFor(at, priority) }
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// MaxPriority is the largest priority number, which is the lowest priority.
+const MaxPriority = 9
+
 // Upper bounds of the values of keys.
 const (
 	maxNameBytes      = 32
@@ -17,7 +20,6 @@
 	maxRate           = 10_000 // per second
 	maxColdRateFactor = 10
 	maxColdRateSlack  = 1_000 // requests
-	maxPriority       = 9
 	maxAttempts       = 100
 	maxHostBytes      = 253
 	maxWeight         = 1_000_000
@@ -63,7 +65,7 @@
 	omitIf(durationKey("whole", 0, "10s", func(r *Route) *time.Duration { return &r.TotalTimeout }), func(r *Route) bool { return r.TotalTimeout == r.HeaderTimeout }),
 	omitDefault(durationKey("aim", 0, "500ms", func(r *Route) *time.Duration { return &r.LatencyTarget }), "0s"),
 	intKey("tries", 1, maxAttempts, "2", func(r *Route) *int { return &r.MaxAttempts }),
-	intKey("rank", 1, maxPriority, "3", func(r *Route) *int { return &r.Priority }),
+	intKey("rank", 1, MaxPriority, "3", func(r *Route) *int { return &r.Priority }),
 	sizeKey("body", "1MB", func(r *Route) *int64 { return &r.MaxBodyBytes }),
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -4,7 +4,9 @@
 // If a backend server is overloaded, serving requests in order of arrival makes every
 // one of them late. This queue serves the attempts that can still be on time first,
 // by priority and then by the earliest due time. An attempt that has waited too long is
-// rejected at once, so that its caller still has time to retry elsewhere.
+// rejected at once, so that its caller still has time to retry elsewhere. If the queue is full
+// of attempts that go last, such as uploads in a burst, one of them makes room for an attempt that
+// precedes it.
 //
 // # Usage
 //
@@ -14,7 +16,10 @@
 //	expired := q.Expire(now)
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Item is one queued value.
 type Item[T comparable] struct {
@@ -83,6 +88,17 @@
 	return n
 }
 
+// CountTo returns the number of items of the given priority or a higher one.
+func (q *Queue[T]) CountTo(priority int) int {
+	n := 0
+	for i := range q.items {
+		if q.items[i].Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
 // Push adds an item. It reports false if the queue is full.
 func (q *Queue[T]) Push(i Item[T]) bool {
 	if len(q.items) >= q.capacity {
@@ -92,6 +108,29 @@
 	return true
 }
 
+// Displace removes the last item of a full queue and returns it, if i precedes it because it is more
+// timely, or as timely and of a higher priority. The item that leaves makes room for i, which
+// Displace does not add. Service times are the typical ones multiplied by slowdown.
+func (q *Queue[T]) Displace(now time.Time, slowdown float64, i Item[T]) (value T, ok bool) {
+	if len(q.items) == 0 {
+		return value, false
+	}
+	last := 0
+	for j := range q.items {
+		if before(now, slowdown, &q.items[last], &q.items[j]) {
+			last = j
+		}
+	}
+	o := &q.items[last]
+	ofItem, ofLast := i.timeliness(now, slowdown), o.timeliness(now, slowdown)
+	if ofItem < ofLast || ofItem == ofLast && i.Priority >= o.Priority {
+		return value, false
+	}
+	value = o.Value
+	q.items = slices.Delete(q.items, last, last+1)
+	return value, true
+}
+
 // Next returns the first item for which mayBegin reports true, without removing it.
 // Service times are the typical ones multiplied by slowdown. Items that can be on time
 // at the current speed are ordered by priority and then by the earliest due time. They
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -101,3 +101,34 @@
 		}
 	})
 }
+
+func TestDisplace(t *testing.T) {
+	tests := []struct {
+		name     string
+		queued   []sched.Item[int]
+		slowdown float64
+		item     sched.Item[int]
+		want     int
+	}{
+		{"lower priority leaves", []sched.Item[int]{item(1, 1, 300, 200), item(2, 3, 900, 800)}, 1, item(9, 2, 300, 200), 2},
+		{"latest of the lowest priority leaves", []sched.Item[int]{item(1, 3, 900, 800), item(2, 3, 950, 850)}, 1, item(9, 1, 300, 200), 2},
+		{"late item leaves", []sched.Item[int]{item(1, 2, 300, 200), item(2, 1, 50, 60)}, 1, item(9, 2, 300, 200), 2},
+		{"same priority stays", []sched.Item[int]{item(1, 2, 900, 800), item(2, 2, 950, 850)}, 1, item(9, 2, 300, 200), 0},
+		{"higher priority stays", []sched.Item[int]{item(1, 1, 900, 800), item(2, 1, 950, 850)}, 1, item(9, 2, 300, 200), 0},
+		{"timely items stay before a late one", []sched.Item[int]{item(1, 3, 900, 800), item(2, 3, 950, 850)}, 1, item(9, 1, 50, 60), 0},
+		{"slow: items on time only at normal speed leave", []sched.Item[int]{item(1, 1, 150, 50), item(2, 3, 950, 850)}, 3, item(9, 2, 900, 800), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			q := sched.New[int](len(tt.queued))
+			for _, i := range tt.queued {
+				c.Assert(q.Push(i), qt.IsTrue)
+			}
+			got, ok := q.Displace(now, tt.slowdown, tt.item)
+			c.Check(got, qt.Equals, tt.want)
+			c.Check(ok, qt.Equals, tt.want != 0)
+			c.Check(q.Push(tt.item), qt.Equals, ok)
+		})
+	}
+}
--- a/io/dgram/dgram.go
+++ b/io/dgram/dgram.go
@@ -6,7 +6,7 @@
 //
 //	g := dgram.New(l, dgram.Options{Node: self, Conn: conn, Logger: logger})
 //	defer g.Close()
-//	loads := g.ProbeLoads(ctx, peers)
+//	loads := g.ProbeLoads(ctx, peers, priority)
 //	g.BroadcastVersions(effect.BroadcastVersions{Peers: peers, Versions: v})
 package dgram
 
@@ -103,9 +103,9 @@
 	tr.ended.Wait()
 }
 
-// ProbeLoads queries the guards of peers for their loads and returns those that arrive within
-// a few milliseconds and before ctx ends.
-func (tr *Transport) ProbeLoads(ctx context.Context, peers []fleet.Instance) []event.LoadReported {
+// ProbeLoads queries the guards of peers for their loads, with the wait times of the given priority,
+// and returns those that arrive within a few milliseconds and before ctx ends.
+func (tr *Transport) ProbeLoads(ctx context.Context, peers []fleet.Instance, priority int) []event.LoadReported {
 	if len(peers) == 0 {
 		return nil
 	}
@@ -115,7 +115,7 @@
 	}
 	tr.mutex.Lock()
 	tr.next++
-	number := tr.next
+	number := rankedNumber(tr.next, priority)
 	tr.probes[number] = probe
 	tr.mutex.Unlock()
 	m := message{Kind: kindLoadRequest, Number: number}
@@ -163,7 +163,7 @@
 	}
 	switch m.Kind {
 	case kindLoadRequest:
-		load, _ := tr.loop.LoadReport()
+		load := tr.loop.LoadFor(priorityOf(m.Number))
 		tr.send(message{Kind: kindLoad, Number: m.Number, From: tr.options.Node, Load: load}, from)
 	case kindLoad:
 		tr.loadReceived(m)
@@ -192,6 +192,6 @@
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
 	if probe, ok := tr.probes[m.Number]; ok {
-		probe.received(event.LoadReported{At: time.Now(), Guard: m.From, Load: m.Load})
+		probe.received(event.LoadReported{At: time.Now(), Guard: m.From, Load: m.Load, Priority: priorityOf(m.Number)})
 	}
 }
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -46,11 +46,12 @@
 	_, _, first := newTransport(c, "ledger-1")
 	_, _, second := newTransport(c, "ledger-2")
 	gone := fleet.Instance{Name: "ledger-3", ControlAddr: netip.MustParseAddrPort("127.0.0.1:1")}
-	loads := g.ProbeLoads(context.Background(), []fleet.Instance{first, second, gone})
+	loads := g.ProbeLoads(context.Background(), []fleet.Instance{first, second, gone}, 2)
 	names := make(map[string]bool)
 	for _, l := range loads {
 		names[l.Guard.Instance] = true
 		c.Check(l.Guard.Incarnation, qt.Equals, uint64(7))
+		c.Check(l.Priority, qt.Equals, 2)
 	}
 	c.Check(names, qt.DeepEquals, map[string]bool{"ledger-1": true, "ledger-2": true})
 	c.Check(g.probes, qt.HasLen, 0)
@@ -97,7 +98,7 @@
 	other := New(blank, Options{Node: ticket.NodeID{Instance: "ledger-1", Incarnation: 7}, Conn: conn, Logger: slog.New(slog.DiscardHandler)})
 	defer other.Close()
 	peer := fleet.Instance{Name: "ledger-1", ControlAddr: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
-	loads := g.ProbeLoads(context.Background(), []fleet.Instance{peer})
+	loads := g.ProbeLoads(context.Background(), []fleet.Instance{peer}, 0)
 	c.Assert(loads, qt.HasLen, 1)
 	c.Check(loads[0].Load.Blank, qt.IsTrue)
 	f := <-fetched
@@ -180,7 +181,7 @@
 func TestProbeOfNoGuardDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		qt.Check(t, (&Transport{}).ProbeLoads(t.Context(), nil), qt.HasLen, 0)
+		qt.Check(t, (&Transport{}).ProbeLoads(t.Context(), nil, 0), qt.HasLen, 0)
 		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
 	})
 }
--- a/io/dgram/message.go
+++ b/io/dgram/message.go
@@ -43,6 +43,19 @@
 	Versions event.Versions
 }
 
+// priorityShift is the position of the priority in the number of a load request. A guard that does not
+// know of priorities returns the number as it is.
+const priorityShift = 56
+
+// rankedNumber returns the number of a load request for attempts of the given priority.
+func rankedNumber(number uint64, priority int) uint64 {
+	return number&(1<<priorityShift-1) | uint64(priority)<<priorityShift
+}
+
+// priorityOf returns the priority for which the load request of the given number was sent, or 0 for
+// the whole queue.
+func priorityOf(number uint64) int { return int(number >> priorityShift) }
+
 // FormatError reports a datagram that cannot be parsed.
 type FormatError struct {
 	Size int
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -171,7 +171,7 @@
 func (cr *callerRequest) probeLoads(e effect.ProbeCandidates) {
 	var loads []event.LoadReported
 	if s := cr.front.options.Prober; s != nil {
-		loads = s.ProbeLoads(cr.request.Context(), e.Peers)
+		loads = s.ProbeLoads(cr.request.Context(), e.Peers, e.Priority)
 	}
 	cr.front.loop.Process(event.CandidatesProbed{At: time.Now(), ID: cr.id, Loads: loads, Random: rand.Uint64()})
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -57,7 +57,7 @@
 // LoadProber sends load probes to guards.
 type LoadProber interface {
 	// ProbeLoads returns the load reports that arrive within a few milliseconds.
-	ProbeLoads(ctx context.Context, peers []fleet.Instance) []event.LoadReported
+	ProbeLoads(ctx context.Context, peers []fleet.Instance, priority int) []event.LoadReported
 }
 
 // Front is the HTTP handler for callers.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -176,6 +176,13 @@
 	return l.node.Load(now), l.node.Versions(now)
 }
 
+// LoadFor returns the load report whose wait time holds for attempts of the given priority.
+func (l *Loop) LoadFor(priority int) report.Load {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.node.LoadFor(time.Now(), priority)
+}
+
 // dispatch executes or delivers effects. The mutex must be held.
 func (l *Loop) dispatch(effects []effect.Effect) {
 	for _, e := range effects {
