feat(io/remote): bodies above 16 KB wait for their slot at the entry

Attempts took 400 ms and more from entry to guard.

Cause: uploads of some 60 KB were sent along with their attempts, up to four times each, as full guards rejected them. On links of 10 Mbit/s a body takes 48 ms, and everything behind it waits.

Change: a body above 16 KB, not 64 KB, waits for the 100 Continue of the guard, which it sends when the attempt has a slot. It costs a round trip for bodies of 16 to 64 KB.

Tried and not kept: guards that receive bodies before attempts have a slot, see docs/design/overload.md.

--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -27,8 +27,10 @@
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 90 * time.Second
 	// expectContinueSize is the body size in bytes above which the request
-	// waits for a 100 Continue of the guard before the body is sent.
-	expectContinueSize = 64 << 10
+	// waits for a 100 Continue of the guard before the body is sent. The body of a
+	// rejected attempt then takes no time on the links, on which short requests
+	// would wait behind it.
+	expectContinueSize = 16 << 10
 	// maxIdlePerNode is the maximum number of idle connections to each node.
 	maxIdlePerNode = 64
 )
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -229,3 +229,22 @@
 		})
 	}
 }
+
+// TestBodyOfRejectedAttemptIsNotSent rejects attempts before their bodies are read. A body that takes
+// a slow link long enough to delay others stays with the entry.
+func TestBodyOfRejectedAttemptIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	address, _ := startGuard(c, func(_ int32, r *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: not-run\r\n%s: busy\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			proto.HeaderTicket, r.Header.Get(proto.HeaderTicket), proto.HeaderOutcome, proto.HeaderReason, proto.HeaderGuard, proto.FormatNode(guard))
+	})
+	const size = 20_000
+	body := strings.NewReader(strings.Repeat("b", size))
+	a := newClaim(address, "")
+	a.Body, a.Length = body, size
+	response, err := newExchanger(c).Exchange(context.Background(), a)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Check(response.Outcome, qt.Equals, effect.NotRun)
+	c.Check(body.Len(), qt.Equals, size)
+}
