--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -234,13 +235,17 @@
 // a slow link long enough to delay others stays with the entry.
 func TestBodyOfRejectedAttemptIsNotSent(t *testing.T) {
 	c := qt.New(t)
-	address, _ := startGuard(c, func(_ int32, r *http.Request, conn net.Conn) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: not-run\r\n%s: busy\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
-			proto.HeaderTicket, r.Header.Get(proto.HeaderTicket), proto.HeaderOutcome, proto.HeaderReason, proto.HeaderGuard, proto.FormatNode(guard))
-	})
+	guards := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(proto.HeaderTicket, r.Header.Get(proto.HeaderTicket))
+		w.Header().Set(proto.HeaderOutcome, effect.NotRun.String())
+		w.Header().Set(proto.HeaderGuard, proto.FormatNode(guard))
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	c.Cleanup(guards.Close)
 	const size = 20_000
 	body := strings.NewReader(strings.Repeat("b", size))
-	a := newClaim(address, "")
+	a := newClaim(guards.Listener.Addr(), "")
 	a.Body, a.Length = body, size
 	response, err := newExchanger(c).Exchange(context.Background(), a)
 	c.Assert(err, qt.IsNil)
