--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -159,7 +159,7 @@
 	budgets.hedges.Deposit()
 	if probed := n.loadProbeTargets(now, e.Random, req); len(probed) > 0 {
 		req.awaitingLoads = true
-		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed})
+		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
 	}
 	return n.forward(now, e.Random, req, effect.ReasonServers, out)
 }
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -229,3 +230,26 @@
 		})
 	}
 }
+
+// TestBodyOfRejectedAttemptIsNotSent rejects attempts before their bodies are read. A body that takes
+// a slow link long enough to delay others stays with the entry.
+func TestBodyOfRejectedAttemptIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	guards := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(proto.HeaderTicket, r.Header.Get(proto.HeaderTicket))
+		w.Header().Set(proto.HeaderOutcome, effect.NotRun.String())
+		w.Header().Set(proto.HeaderGuard, proto.FormatNode(guard))
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	c.Cleanup(guards.Close)
+	const size = 20_000
+	body := strings.NewReader(strings.Repeat("b", size))
+	a := newClaim(guards.Listener.Addr(), "")
+	a.Body, a.Length = body, size
+	response, err := newExchanger(c).Exchange(context.Background(), a)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Check(response.Outcome, qt.Equals, effect.NotRun)
+	c.Check(body.Len(), qt.Equals, size)
+}
