--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -85,7 +85,7 @@
 	withRequired(digestsKey(KeyDigests, func(c *Customer) *[]string { return &c.Keys })),
 	omitDefault(decimalKey("rate", 0, maxCustomerRate, "50", func(c *Customer) *float64 { return &c.Rate }), "0"),
 	omitDefault(intKey("burst", 0, maxBurst, "50", func(c *Customer) *int { return &c.Burst }), "0"),
-	omitDefault(intKey("rank", 1, maxPriority, "3", func(c *Customer) *int { return &c.Priority }), "0"),
+	omitDefault(intKey("rank", 1, MaxPriority, "3", func(c *Customer) *int { return &c.Priority }), "0"),
 }
 
 // budgetKeys lists the keys of a budget rule.
--- a/core/rules/parse_test.go
+++ b/core/rules/parse_test.go
@@ -216,7 +216,7 @@
 		held := rapid.IntRange(0, len(digests)).Draw(t, "held")
 		rate := rapid.IntRange(1, maxCustomerRate*100).Draw(t, "rate")
 		fmt.Fprintf(&b, "customer %s keys=%s rate=%d.%02d burst=%d rank=%d%s\n", customer, formatDigests(digests[:held]), rate/100, rate%100,
-			rapid.IntRange(0, maxBurst).Draw(t, "burst"), rapid.IntRange(1, maxPriority).Draw(t, "rank"), comment.Draw(t, "comment"))
+			rapid.IntRange(0, maxBurst).Draw(t, "burst"), rapid.IntRange(1, MaxPriority).Draw(t, "rank"), comment.Draw(t, "comment"))
 		digests = digests[held:]
 	}
 	if rapid.Bool().Draw(t, "budget") {
