fix(io/daemon): bytes without an ID are no response of a server that repeats IDs

What callers saw (review/2): extra bytes after a response, "200 OK" or "503" without a request ID, became the response to the next request on the connection: a success that no backend server gave, or a 503 for a claim that ran.

Cause: a response without an ID was accepted for any request, also from a backend server that had repeated IDs before.

Why this works: the node remembers that its backend server repeats IDs, and then skips responses without one.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -328,13 +328,12 @@
 
 // serverTransport returns the transport to the backend server.
 func (d *Daemon) serverTransport() *pool.Transport {
+	matches := newMatcher(d.adapter.Dialect)
 	return pool.New(sock.NewDialer(serverDialTimeout), pool.Options{
 		MaxIdle:     maxIdleServerConns,
 		IdleTimeout: serverIdleTimeout,
 		ReportPanic: d.loop.ReportPanic,
-		Match: func(r *http.Request, a *http.Response) bool {
-			return d.adapter.Dialect.Matches(r.Header, a.Header)
-		},
+		Match:       func(r *http.Request, a *http.Response) bool { return matches(r.Header, a.Header) },
 		// A faulty backend server may send a refusal once more, which would then be taken for the
 		// response to the next request.
 		Reuse: func(a *http.Response) bool { return !proto.MayRefuse(d.adapter.Dialect, a) },
