fix(io/front): a request without a response aborts its connection

Cause: the server of net/http ends the context of the request at that close; the handler returned without a response, for which the server sends an empty 200.

Why this works: at the end of each request one place looks whether a head was written, on whichever way the handler ended, and aborts the connection if not.

--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -36,6 +36,8 @@
 	// name is the request name that the caller chose.
 	name  string
 	began time.Time
+	// responded reports that the head of a response was written.
+	responded bool
 	// recovered is the stored response that a guard returned to an outcome query.
 	recovered *event.StoredResponse
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -107,6 +107,10 @@
 	}()
 	f.loop.Process(e)
 	cr.run()
+	if !cr.responded {
+		// The server would respond with an empty 200 in place of the handler.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // checkRequest parses r into the event for the entry. If the caller chose no request
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -70,6 +70,7 @@
 	if response.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
+	cr.responded = true
 	cr.writer.WriteHeader(response.Status)
 }
 
@@ -106,6 +107,7 @@
 	h.Set(proto.HeaderOutcome, effect.Run.String())
 	cr.setTicket(e.Ticket)
 	h.Set("Content-Length", strconv.Itoa(len(cr.recovered.Body)))
+	cr.responded = true
 	cr.writer.WriteHeader(cr.recovered.Status)
 	if _, err := cr.writer.Write(cr.recovered.Body); err != nil {
 		panic(http.ErrAbortHandler)
@@ -139,6 +141,7 @@
 		// whole body.
 		cr.writer.Header().Set("Connection", "close")
 	}
+	cr.responded = true
 	writeProblem(cr.writer, p)
 }
 
