fix(core): a full queue that shrinks answers all, and late attempts displace none

After a change to fewer slots, attempts that arrived at a queue above its new capacity were never answered. Urgent attempts that could not begin before their target took the places of others that could. A report of the wait time for one rank hid the longer one of the whole queue.

Cause: Displace made one place, and the Push after it failed unseen. An attempt that is late in any case was compared as if it began at once. The wait time of a report for one rank replaced that of the whole queue, and older reports outlived newer ones that bound them.

Why this works: Displace puts the attempt in the place of the one that leaves; an attempt that is late in any case is rejected at a full queue; a wait time is that of the last report for its rank, within the bounds of later reports for other ranks.

--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -45,13 +45,25 @@
 	ending      bool
 	endingGuard uint64
 	endingAt    time.Time
-	// waits holds the wait times that the guard reported for each priority since its last report
-	// for the whole queue.
-	waits [rules.MaxPriority + 1]rankedWait
+	// waits holds the last wait time that the guard reported for each priority, and for the whole
+	// queue at wholeQueue.
+	waits [wholeQueue + 1]rankedWait
 	// probedAt is the time at which this entry last probed the peer after a failure.
 	probedAt time.Time
 }
 
+// wholeQueue is the index of the wait time behind the whole queue, which is that of the lowest
+// priority.
+const wholeQueue = rules.MaxPriority + 1
+
+// rankOf returns the index of the wait time for a priority. A priority of 0 stands for the whole queue.
+func rankOf(priority int) int {
+	if priority <= 0 || priority > rules.MaxPriority {
+		return wholeQueue
+	}
+	return priority
+}
+
 // rankedWait is a wait time that a guard reported for one priority.
 type rankedWait struct {
 	wait time.Duration
@@ -63,12 +75,37 @@
 	return !w.at.IsZero() && now.Sub(w.at) <= recentLoadAge
 }
 
-// waitOf returns the expected time in the queue of the guard for a request of the given priority.
+// waitOf returns the expected time in the queue of the guard for a request of the given priority: the
+// last one that was reported for it, within the bounds of later reports for other priorities. A
+// higher priority waits no longer, and a lower one no shorter. Without a report for it, that for the
+// whole queue counts, or else the newest one.
 func (p *peer) waitOf(priority int, now time.Time) time.Duration {
-	if priority > 0 && priority < len(p.waits) && p.waits[priority].isRecent(now) {
-		return p.waits[priority].wait
+	rank := rankOf(priority)
+	known := p.waits[rank]
+	if !known.isRecent(now) {
+		known = p.waits[wholeQueue]
+	}
+	if !known.isRecent(now) {
+		for _, w := range p.waits {
+			if w.at.After(known.at) {
+				known = w
+			}
+		}
+	}
+	if !known.isRecent(now) {
+		return p.load.Wait
+	}
+	wait := known.wait
+	for i, w := range p.waits {
+		switch {
+		case !w.isRecent(now) || w.at.Before(known.at):
+		case i >= rank:
+			wait = min(wait, w.wait)
+		default:
+			wait = max(wait, w.wait)
+		}
 	}
-	return p.load.Wait
+	return wait
 }
 
 // candidate returns the peer in the form that a selection policy takes.
@@ -165,21 +202,17 @@
 func (p *peer) recordLoad(l report.Load, at time.Time) { p.recordRankedLoad(l, 0, at) }
 
 // recordRankedLoad records a load report whose wait time holds for one priority, or for the whole
-// queue if that is 0, and resets sent.
+// queue if that is 0, and resets sent. A report for the whole queue replaces those for priorities.
 func (p *peer) recordRankedLoad(l report.Load, priority int, at time.Time) {
+	rank := rankOf(priority)
+	if rank == wholeQueue {
+		clear(p.waits[:])
+	}
 	p.load = l
 	p.reportedAt = at
 	p.sent = 0
-	if priority <= 0 || priority >= len(p.waits) {
-		clear(p.waits[:])
-		return
-	}
-	p.waits[priority] = rankedWait{wait: l.Wait, at: at}
-	for _, w := range p.waits {
-		if w.isRecent(at) {
-			p.load.Wait = max(p.load.Wait, w.wait)
-		}
-	}
+	p.waits[rank] = rankedWait{wait: l.Wait, at: at}
+	p.load.Wait = p.waitOf(0, at)
 }
 
 // updateLatency adds a sample to the moving average of the latency.
--- a/core/guard/wait.go
+++ b/core/guard/wait.go
@@ -95,7 +95,8 @@
 	fits := time.Duration(waitMargin * float64(takes))
 	i := sched.Item[uint64]{Value: e.Arrival, Priority: e.Priority, Due: due, ServiceTime: typical, Expires: due.Add(-fits)}
 	begins := e.At.Add(g.waitBehind(e.At, g.deadlineQueue.Ahead(e.Priority, due), concurrencyLimit))
-	if begins.After(i.Expires) {
+	isLate := begins.After(i.Expires)
+	if isLate {
 		i.Expires = e.At.Add(time.Duration(lateWaitShare * float64(e.TargetLeft)))
 	}
 	if last := e.At.Add(e.TimeLeft - time.Duration(deadlineMargin*float64(takes))); i.Expires.After(last) {
@@ -105,12 +106,14 @@
 		return g.reject(e, effect.ReasonOverloaded, out)
 	}
 	if !g.deadlineQueue.Push(i) {
+		if isLate {
+			return g.reject(e, effect.ReasonOverloaded, out)
+		}
 		displaced, ok := g.deadlineQueue.Displace(e.At, g.expectedSlowdown(e.At, g.slownessPercent(e.At)), i)
 		if !ok {
 			return g.reject(e, effect.ReasonOverloaded, out)
 		}
 		out = g.reject(g.waiters[displaced], effect.ReasonOverloaded, out)
-		g.deadlineQueue.Push(i)
 	}
 	if !e.Idempotent {
 		g.recordAccepted(e)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -16,10 +16,7 @@
 //	expired := q.Expire(now)
 package sched
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Item is one queued value.
 type Item[T comparable] struct {
@@ -108,9 +105,9 @@
 	return true
 }
 
-// Displace removes the last item of a full queue and returns it, if i precedes it because it is more
-// timely, or as timely and of a higher priority. The item that leaves makes room for i, which
-// Displace does not add. Service times are the typical ones multiplied by slowdown.
+// Displace puts i in the place of the last item and returns that one, if i precedes it because it is
+// more timely, or as timely and of a higher priority. Service times are the typical ones multiplied
+// by slowdown.
 func (q *Queue[T]) Displace(now time.Time, slowdown float64, i Item[T]) (value T, ok bool) {
 	if len(q.items) == 0 {
 		return value, false
@@ -127,7 +124,7 @@
 		return value, false
 	}
 	value = o.Value
-	q.items = slices.Delete(q.items, last, last+1)
+	*o = i
 	return value, true
 }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -128,7 +128,8 @@
 			got, ok := q.Displace(now, tt.slowdown, tt.item)
 			c.Check(got, qt.Equals, tt.want)
 			c.Check(ok, qt.Equals, tt.want != 0)
-			c.Check(q.Push(tt.item), qt.Equals, ok)
+			c.Check(q.Len(), qt.Equals, len(tt.queued))
+			c.Check(q.Remove(tt.item.Value), qt.Equals, ok)
 		})
 	}
 }
