feat(core/entry): a request takes a token of its customer's limit

The entry needs a token before it first sends a request of a customer with a limit; the ask and its answer are two new kinds of datagrams, which older nodes ignore as malformed. One request takes one token: retries and hedges are the same request, calls of running requests bear no credential. The token is taken after the load probes, so that a request that is rejected as overloaded takes none.

Beyond the limit the caller gets 429 with the reason "allotment" and the time until the next token; 503 with the reason "owners" where nobody who keeps a part of the limit responds, since nothing is known then. The log line has the limit, what was lent, the owner that said so and the age of its answer.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -13,8 +13,10 @@
 package effect
 
 import (
+	"net/netip"
 	"time"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/nested"
@@ -62,6 +64,8 @@
 const (
 	ReasonRoute        Reason = "route"      // no rule matches the method and path
 	ReasonCredential   Reason = "credential" // no customer holds the credential of the request
+	ReasonAllotment    Reason = "allotment"  // the customer has used up its limit
+	ReasonOwners       Reason = "owners"     // no node that lends tokens of the customer's limit responds
 	ReasonBody         Reason = "body"       // the body is larger than its rule allows
 	ReasonRules        Reason = "rules"      // the node has not loaded any rules yet
 	ReasonDepth        Reason = "depth"      // the calls are nested too deeply
@@ -93,6 +97,23 @@
 	Priority int
 }
 
+// AskTokens asks the owner of a part of a customer's limit for tokens. A TokensAnswered event
+// follows within milliseconds, also if there is no response.
+type AskTokens struct {
+	Ask allot.Ask
+	// Centres is the number of data centres that this node knows.
+	Centres int
+}
+
+// LendTokens is the response to a TokensAsked event.
+type LendTokens struct {
+	Number uint64
+	To     netip.AddrPort
+	Grant  allot.Grant
+	// Centres is the number of data centres that this node knows.
+	Centres int
+}
+
 // BroadcastVersions sends the versions that this node holds to many peers. It expects no response.
 type BroadcastVersions struct {
 	Peers    []fleet.Instance
--- a/core/entry/decisions.go
+++ b/core/entry/decisions.go
@@ -98,11 +98,26 @@
 	return age.Microseconds()
 }
 
+// appendRefusal appends to the facts of a decision how much of the limit of req's customer was used,
+// by whose view and of which age, if req got no token.
+func appendRefusal(facts []effect.Fact, req *request, r effect.Reason) []effect.Fact {
+	if r != effect.ReasonAllotment && r != effect.ReasonOwners {
+		return facts
+	}
+	return append(facts,
+		effect.Fact{Key: "limit_mhz", Value: int64(1000 * req.refusal.Limit.Rate)},
+		effect.Fact{Key: "burst", Value: int64(req.refusal.Limit.Burst)},
+		effect.Fact{Key: "lent", Value: int64(req.refusal.Lent)},
+		effect.Fact{Key: "owner", Text: cmp.Or(req.refusal.Owner, "none")},
+		effect.Fact{Key: "owner_age_us", Value: req.refusal.Age.Microseconds()},
+	)
+}
+
 // logFailed logs the reply r that the entry itself sends to the caller of req.
 func (n *Entry) logFailed(now time.Time, req *request, r effect.ReplyFromEntry, out []effect.Effect) []effect.Effect {
 	return append(out, effect.Decision{
 		Kind: effect.DecisionFailed, Name: req.name, Failed: true, CandidateLoads: n.recentLoads(now, req),
-		Facts: appendCustomer([]effect.Fact{
+		Facts: appendRefusal(appendCustomer([]effect.Fact{
 			{Key: "outcome", Text: r.Outcome.String()},
 			{Key: "reason", Text: string(r.Reason)},
 			{Key: "service", Text: req.service},
@@ -114,6 +129,6 @@
 			{Key: "takes_us", Value: n.typicalTimeOf(req).Microseconds()},
 			{Key: "aim_us", Value: req.targetTimeLeft(now).Microseconds()},
 			{Key: "retry_us", Value: r.RetryAfter.Microseconds()},
-		}, req),
+		}, req), req, r.Reason),
 	})
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -45,6 +46,8 @@
 	// ProbeCount is the number of guards whose load the entry probes before it sends a
 	// request. At 0 it relies on the load reports that arrive with responses.
 	ProbeCount int
+	// Allot keeps the limits of customers; nil means that there are none.
+	Allot *allot.Allot
 	// MaxCredentialAge is the age of the rules up to which a credential that they know counts; 0
 	// means any.
 	MaxCredentialAge time.Duration
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/nested"
@@ -35,6 +36,12 @@
 	// that holds it. Both may be empty, and are if the rules have no customers.
 	credential string
 	customer   string
+	// claim says whether req has a token of its customer's limit.
+	claim claim
+	// chosen is the guard to which req is sent once it has a token.
+	chosen string
+	// refusal says why there is no token.
+	refusal allot.Refusal
 	// service is the service of the route that executes the request.
 	service string
 	// awaitingLoads is set while load probes for the request are in progress.
@@ -154,6 +161,9 @@
 	if req.isOutcomeQuery && !r.Idempotent {
 		return n.queryOutcome(now, req, 0, out)
 	}
+	if n.isExhausted(now, req) {
+		return n.refuse(now, req, out)
+	}
 	budgets := n.attemptBudgetOf(req.service)
 	budgets.retries.Deposit()
 	budgets.hedges.Deposit()
@@ -226,8 +236,14 @@
 	return n.send(now, random, req, p, out)
 }
 
-// send sends an attempt of req to p.
+// send sends an attempt of req to p. The first one waits for a token if the customer has a limit.
 func (n *Entry) send(now time.Time, random uint64, req *request, p *peer, out []effect.Effect) []effect.Effect {
+	if req.customer != "" && req.claim != claimGranted {
+		var isGranted bool
+		if isGranted, out = n.claimToken(now, req, p, out); !isGranted {
+			return out
+		}
+	}
 	n.sequence++
 	t := ticket.Ticket{
 		Entry:    n.config.Node,
@@ -313,6 +329,9 @@
 	if !ok {
 		return n.dropHeld(e, out)
 	}
+	if req.claim == claimWaiting {
+		n.config.Allot.Withdraw(req.customer, req.id)
+	}
 	out = n.cancelAll(req, out)
 	delete(n.requests, e.ID)
 	return append(out, effect.Decision{Kind: effect.DecisionDisconnected, Name: req.name, Facts: []effect.Fact{
--- a/core/entry/target.go
+++ b/core/entry/target.go
@@ -170,6 +170,9 @@
 func (n *Entry) retryAfter(now time.Time, req *request, r effect.Reason) time.Duration {
 	n.rejections++
 	turn := float64(n.rejections*spreadStep%spreadSteps) / spreadSteps
+	if r == effect.ReasonAllotment {
+		return tokenRetryAfter(req.refusal, turn)
+	}
 	if r != effect.ReasonOverloaded && r != effect.ReasonShed && r != effect.ReasonDeadline {
 		return minRetryAfter + time.Duration(turn*float64(maxRetryAfter-minRetryAfter))
 	}
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -1,8 +1,10 @@
 package event
 
 import (
+	"net/netip"
 	"time"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/nested"
 	"bulrushlock/core/report"
 	"bulrushlock/core/ticket"
@@ -132,6 +134,36 @@
 // Time returns the time of the event.
 func (e CandidatesProbed) Time() time.Time { return e.At }
 
+// TokensAsked reports that a peer asks this node for tokens of a customer's limit.
+type TokensAsked struct {
+	At time.Time
+	// Number and ReplyTo identify the ask and its sender for the response.
+	Number  uint64
+	ReplyTo netip.AddrPort
+	// Peer is the name of the instance that asks.
+	Peer     string
+	Customer string
+	Shard    int
+	Count    int
+	// Centres is the number of data centres that the peer knows.
+	Centres int
+}
+
+// Time returns the time of the event.
+func (e TokensAsked) Time() time.Time { return e.At }
+
+// TokensAnswered reports the response to an AskTokens effect, or that there was none in time.
+type TokensAnswered struct {
+	At     time.Time
+	Answer allot.Answer
+	// Centres is the number of data centres that the owner knows.
+	Centres int
+	Random  uint64
+}
+
+// Time returns the time of the event.
+func (e TokensAnswered) Time() time.Time { return e.At }
+
 // RequestEnded reports that a request has ended at the entry: its response was sent or its
 // caller disconnected.
 type RequestEnded struct {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/bucket"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/entry"
@@ -67,6 +68,7 @@
 	entry  *entry.Entry
 	guard  *guard.Guard
 	gossip *gossip.Gossip
+	allot  *allot.Allot
 	// settled and recent are histories of the members of the service. settled is cleared when
 	// a published version was missed; recent keeps what this node has seen. A pause longer
 	// than Config.MaxStaleness clears both.
@@ -102,9 +104,11 @@
 	settled.Service = c.Service
 	recent := owner.New(2 * c.MaxStaleness)
 	recent.Service = c.Service
+	limits := allot.New(c.Instance, c.Centre)
 	return &Node{
 		config:         c,
-		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount, MaxCredentialAge: c.MaxCredentialAge}, p),
+		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount, Allot: limits, MaxCredentialAge: c.MaxCredentialAge}, p),
+		allot:          limits,
 		guard:          guard.New(guard.Config{Node: self, Centre: c.Centre, Service: c.Service}),
 		gossip:         gossip.New(c.Instance, c.Centre),
 		settled:        settled,
@@ -126,12 +130,14 @@
 func (n *Node) Step(e event.Event, out []effect.Effect) []effect.Effect {
 	out = n.detectPause(e, out)
 	switch e := e.(type) {
-	case event.Request, event.AttemptEnded, event.OutcomeReported, event.HedgeDelayPassed, event.RequestEnded, event.LoadReported, event.CandidatesProbed:
+	case event.Request, event.AttemptEnded, event.OutcomeReported, event.HedgeDelayPassed, event.RequestEnded, event.LoadReported, event.CandidatesProbed, event.TokensAnswered:
 		out = n.stepEntry(e, out)
 	case event.Attempt, event.SenderDisconnected, event.QueueTimedOut, event.ExchangeEnded, event.OutcomeQueried, event.HealthChecked, event.ServerAnnounced, event.LoadRequested:
 		out = n.stepGuard(e, out)
 	case event.DocumentRead, event.DocumentUnchanged, event.DocumentReadFailed, event.VersionsReceived, event.PeerUnreachable:
 		out = n.stepGossip(e, out)
+	case event.TokensAsked:
+		out = n.lendTokens(e, out)
 	case event.Tick:
 		out = n.tick(e, false, out)
 		out = n.reportDrained(e.At, out)
@@ -180,6 +186,8 @@
 		return e.Random
 	case event.AttemptEnded:
 		return e.Random
+	case event.TokensAnswered:
+		return e.Random
 	}
 	return mix(uint64(e.Time().UnixNano()) + n.config.Incarnation)
 }
@@ -212,6 +220,12 @@
 		priority := n.entry.PriorityOf(e.ID)
 		n.entry.LoadReported(event.LoadReported{At: e.At, Guard: n.guard.Node(), Load: n.guard.LoadFor(e.At, priority), Priority: priority})
 		return n.entry.CandidatesProbed(e, out)
+	case event.TokensAnswered:
+		if e.Answer.Responded {
+			n.allot.HeardFrom(e.At, e.Answer.Ask.Owner.Name)
+			n.allot.Heard(e.At, e.Centres)
+		}
+		return n.entry.TokensAnswered(e, out)
 	case event.RequestEnded:
 		return n.entry.RequestEnded(e, out)
 	case event.LoadReported:
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -24,6 +24,7 @@
 	case event.DocumentReadFailed:
 		change, out = n.gossip.DocumentReadFailed(e, random, out)
 	case event.VersionsReceived:
+		n.allot.HeardFrom(e.At, e.Peer)
 		change, out = n.gossip.VersionsReceived(e, out)
 	case event.PeerUnreachable:
 		change = n.gossip.PeerUnreachable()
@@ -86,6 +87,7 @@
 	}
 	instances, _ := n.gossip.Fleet()
 	n.entry.SetRules(s, instances)
+	out = n.applyLimits(at, s, instances, out)
 	n.applyFleet(s, instances)
 	if change.Rules {
 		n.healthChecks.SetRate(float64(s.Budget.HealthCheckRate), 1)
@@ -133,6 +135,7 @@
 // before this tick.
 func (n *Node) tick(e event.Tick, paused bool, out []effect.Effect) []effect.Effect {
 	n.lastTick = e.At
+	n.allot.SetListAge(e.At, n.gossip.FleetAge(e.At))
 	change, out := n.gossip.Tick(e, paused, out)
 	out = n.apply(e.At, change, out)
 	out = n.resumeHeld(e.At, out)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -239,6 +239,7 @@
 		HealthChecker: d.adapter.HealthChecker,
 		Peers:         s.Peers,
 		Broadcaster:   d,
+		Lender:        d,
 		Drained:       func() { d.drainedOnce.Do(func() { close(d.drained) }) },
 	})
 	n := node.New(node.Config{
@@ -361,6 +362,12 @@
 // BroadcastVersions sends the versions that this node holds to peers.
 func (d *Daemon) BroadcastVersions(e effect.BroadcastVersions) { d.datagrams.BroadcastVersions(e) }
 
+// AskTokens asks a peer for tokens of a customer's limit.
+func (d *Daemon) AskTokens(e effect.AskTokens) { d.datagrams.AskTokens(e) }
+
+// LendTokens responds to a peer that asked for tokens.
+func (d *Daemon) LendTokens(e effect.LendTokens) { d.datagrams.LendTokens(e) }
+
 // Settings returns the settings of the node. A port 0 is replaced by the port that the
 // operating system selected.
 func (d *Daemon) Settings() conf.Settings { return *d.settings }
--- a/io/dgram/dgram.go
+++ b/io/dgram/dgram.go
@@ -1,6 +1,7 @@
 // Package dgram exchanges datagrams between nodes: load probes (a request waits for their
-// responses before its backend server is selected) and announcements of the document
-// versions that a node holds. Both are worthless once late, so lost datagrams are not retransmitted.
+// responses before its backend server is selected), asks for tokens of the limits of customers
+// (a request waits for them too), and announcements of the document versions that a node holds.
+// All are worthless once late, so lost datagrams are not retransmitted.
 //
 // # Usage
 //
@@ -52,6 +53,7 @@
 	mutex   sync.Mutex
 	next    uint64
 	probes  map[uint64]*loadProbe
+	asks    map[uint64]*tokenAsk
 	ended   sync.WaitGroup
 }
 
@@ -79,7 +81,7 @@
 
 // New returns a Transport and starts to process the datagrams that arrive on o.Conn.
 func New(l *loop.Loop, o Options) *Transport {
-	tr := &Transport{loop: l, options: o, probes: make(map[uint64]*loadProbe)}
+	tr := &Transport{loop: l, options: o, probes: make(map[uint64]*loadProbe), asks: make(map[uint64]*tokenAsk)}
 	tr.ended.Go(func() {
 		b := make([]byte, maxDatagramSize)
 		for {
@@ -170,6 +172,10 @@
 		if m.Load.Blank {
 			tr.sendVersions(from)
 		}
+	case kindAskTokens:
+		tr.tokensAsked(m, from)
+	case kindTokens:
+		tr.tokensReceived(m)
 	case kindVersions, kindRelayVersions:
 		tr.loop.Process(event.VersionsReceived{
 			At: time.Now(), Peer: m.From.Instance, Control: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()),
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -110,8 +110,8 @@
 func TestDatagramRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(0, 1<<20)
-		m := message{Kind: kind(rapid.IntRange(int(kindLoadRequest), int(kindRelayVersions)).Draw(t, "kind"))}
-		if m.Kind == kindLoadRequest || m.Kind == kindLoad {
+		m := message{Kind: kind(rapid.IntRange(int(kindLoadRequest), int(kindTokens)).Draw(t, "kind"))}
+		if m.Kind != kindVersions && m.Kind != kindRelayVersions {
 			m.Number = rapid.Uint64().Draw(t, "number")
 		}
 		if m.Kind != kindLoadRequest {
@@ -124,6 +124,15 @@
 				Cold: rapid.Bool().Draw(t, "cold"), Ill: rapid.Bool().Draw(t, "ill"), Leaving: rapid.Bool().Draw(t, "leaving"), Blank: rapid.Bool().Draw(t, "blank"),
 			}
 		}
+		switch m.Kind {
+		case kindAskTokens:
+			m.Tokens = tokens{Customer: rapid.StringMatching(`[a-z0-9-]{1,32}`).Draw(t, "customer"), Shard: count.Draw(t, "shard")}
+		case kindTokens:
+			m.Tokens = tokens{IsOwner: rapid.Bool().Draw(t, "owner"), Wait: time.Duration(count.Draw(t, "wait")) * time.Microsecond}
+		}
+		if m.Kind == kindAskTokens || m.Kind == kindTokens {
+			m.Tokens.Count, m.Tokens.Centres = count.Draw(t, "count"), count.Draw(t, "centres")
+		}
 		if m.Kind == kindVersions || m.Kind == kindRelayVersions {
 			m.Versions.Rules = view.Version{Revision: rapid.Uint64().Draw(t, "rules"), Digest: rapid.Uint64().Draw(t, "digest")}
 			m.Versions.Fleet = view.Version{Revision: rapid.Uint64().Draw(t, "fleet"), Digest: rapid.Uint64().Draw(t, "fleet digest")}
@@ -153,6 +162,8 @@
 func FuzzParse(f *testing.F) {
 	f.Add(message{Kind: kindLoadRequest, Number: 1}.append(nil))
 	f.Add([]byte{formatVersion, byte(kindVersions)})
+	f.Add(message{Kind: kindAskTokens, Number: 1, Tokens: tokens{Customer: "acme", Count: 1}}.append(nil))
+	f.Add(message{Kind: kindTokens, Number: 1, Tokens: tokens{Count: 1, IsOwner: true}}.append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := parse(b)
 		if err == nil && m.Kind == 0 {
--- a/io/dgram/message.go
+++ b/io/dgram/message.go
@@ -23,6 +23,10 @@
 	kindVersions
 	// kindRelayVersions announces versions and asks the receiver to relay them.
 	kindRelayVersions
+	// kindAskTokens asks the owner of a part of a customer's limit for tokens.
+	kindAskTokens
+	// kindTokens is the response to kindAskTokens.
+	kindTokens
 )
 
 // formatVersion is the version of the datagram format, sent as the first byte.
@@ -41,6 +45,60 @@
 	From     ticket.NodeID
 	Load     report.Load
 	Versions event.Versions
+	Tokens   tokens
+}
+
+// tokens is the content of an ask for tokens or of its response.
+type tokens struct {
+	// Customer and Shard are set in an ask.
+	Customer string
+	Shard    int
+	// Count is the number of tokens that are asked for or lent.
+	Count int
+	// Wait and IsOwner are set in a response.
+	Wait    time.Duration
+	IsOwner bool
+	// Centres is the number of data centres that the sender knows.
+	Centres int
+}
+
+// append appends the encoded form of t to b.
+func (t tokens) append(b []byte, k kind) []byte {
+	if k == kindAskTokens {
+		b = append(b, byte(len(t.Customer)))
+		b = append(b, t.Customer...)
+		b = binary.AppendUvarint(b, uint64(t.Shard))
+	} else {
+		b = append(b, flagsOfTokens(t))
+		b = binary.AppendUvarint(b, uint64(max(t.Wait, 0).Microseconds()))
+	}
+	b = binary.AppendUvarint(b, uint64(max(t.Count, 0)))
+	return binary.AppendUvarint(b, uint64(max(t.Centres, 0)))
+}
+
+// flagOwner is the flag of a response of the owner.
+const flagOwner = 1
+
+// flagsOfTokens returns the flags of a response.
+func flagsOfTokens(t tokens) byte {
+	if t.IsOwner {
+		return flagOwner
+	}
+	return 0
+}
+
+// tokens returns the content of a message of the given kind.
+func (r *reader) tokens(k kind) tokens {
+	var t tokens
+	if k == kindAskTokens {
+		t.Customer = string(r.take(int(r.take(1)[0])))
+		t.Shard = r.count()
+	} else {
+		t.IsOwner = r.take(1)[0]&flagOwner != 0
+		t.Wait = time.Duration(r.count()) * time.Microsecond
+	}
+	t.Count, t.Centres = r.count(), r.count()
+	return t
 }
 
 // priorityShift is the position of the priority in the number of a load request. A guard that does not
@@ -88,6 +146,9 @@
 	b = append(b, byte(len(m.From.Instance)))
 	b = append(b, m.From.Instance...)
 	b = binary.BigEndian.AppendUint64(b, m.From.Incarnation)
+	if m.Kind == kindAskTokens || m.Kind == kindTokens {
+		return m.Tokens.append(b, m.Kind)
+	}
 	if m.Kind == kindLoad {
 		l := m.Load
 		for _, n := range []int{l.InFlight, l.Queued, l.Limit, l.Slow, int(l.Wait.Microseconds())} {
@@ -192,6 +253,8 @@
 		m.Load.Ill = flags&flagUnhealthy != 0
 		m.Load.Leaving = flags&flagLeaving != 0
 		m.Load.Blank = flags&flagBlank != 0
+	case kindAskTokens, kindTokens:
+		m.Tokens = r.tokens(m.Kind)
 	case kindVersions, kindRelayVersions:
 		v := &m.Versions
 		v.Rules.Revision, v.Rules.Digest = r.uvarint(), r.uvarint()
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -124,7 +124,7 @@
 		p.Ticket = e.Ticket.String()
 		cr.setTicket(*e.Ticket)
 	}
-	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusConflict {
+	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusConflict || p.Status == http.StatusTooManyRequests {
 		after := e.RetryAfter
 		if after == 0 {
 			after = defaultRetryAfter
@@ -155,6 +155,11 @@
 		return http.StatusNotFound
 	case effect.ReasonCredential:
 		return http.StatusUnauthorized
+	case effect.ReasonAllotment:
+		// The status states that the request did not run.
+		if e.Outcome == effect.NotRun {
+			return http.StatusTooManyRequests
+		}
 	case effect.ReasonBody:
 		return http.StatusRequestEntityTooLarge
 	case effect.ReasonDepth:
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -13,12 +13,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"bulrushlock/core/allot"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/node"
@@ -48,6 +50,9 @@
 	Peers []netip.AddrPort
 	// Broadcaster sends the versions of this node to many peers; nil disables that.
 	Broadcaster Broadcaster
+	// Lender asks peers for tokens of the limits of customers, and responds to them. If it is nil,
+	// no ask is answered.
+	Lender Lender
 	// Drained is called when a leaving node has finished all its work.
 	Drained func()
 }
@@ -57,6 +62,12 @@
 	BroadcastVersions(e effect.BroadcastVersions)
 }
 
+// Lender asks peers for tokens and responds to their asks. It must not block.
+type Lender interface {
+	AskTokens(e effect.AskTokens)
+	LendTokens(e effect.LendTokens)
+}
+
 // Runner executes effects without blocking the loop that emits them.
 type Runner struct {
 	options Options
@@ -122,6 +133,12 @@
 		r.spawn(func() { r.exchangeVersions(e) })
 	case effect.BroadcastVersions:
 		r.broadcastVersions(e)
+	case effect.AskTokens:
+		r.askTokens(e)
+	case effect.LendTokens:
+		if r.options.Lender != nil {
+			r.options.Lender.LendTokens(e)
+		}
 	case effect.CheckHealth:
 		if r.checkingHealth.CompareAndSwap(false, true) {
 			r.spawn(func() { r.checkHealth(e) })
@@ -273,6 +290,18 @@
 	}
 }
 
+// askTokens asks a peer for tokens.
+func (r *Runner) askTokens(e effect.AskTokens) {
+	if r.options.Lender != nil {
+		r.options.Lender.AskTokens(e)
+		return
+	}
+	r.spawn(func() {
+		now := time.Now()
+		r.loop.Process(event.TokensAnswered{At: now, Answer: allot.Answer{Ask: e.Ask, AskedAt: now}, Random: rand.Uint64()})
+	})
+}
+
 // checkHealth checks the health of this node's backend server.
 func (r *Runner) checkHealth(e effect.CheckHealth) {
 	defer r.checkingHealth.Store(false)
