--- a/core/pick/leastexpectedtime.go
+++ b/core/pick/leastexpectedtime.go
@@ -9,7 +9,7 @@
 	// percent.
 	normalSlowness = 100
 	// remoteCost is the time that a candidate in another data centre must save to be
-	// preferred, as a share of the typical service time.
+	// preferred, as a share of the typical service time. A known CrossCost is added to it.
 	remoteCost = 0.15
 	// unhealthyFactor multiplies the expected time on a backend server that reports
 	// itself unhealthy.
@@ -47,19 +47,37 @@
 	for k := range candidates {
 		i := (start + k) % len(candidates)
 		c := &candidates[i]
-		if now.Sub(c.ReportedAt) > maxReportAge {
+		if !c.HasRecentReport(now) {
 			continue
 		}
-		if t := c.expectedTime(now); best < 0 || t < least {
+		if t := c.expectedTime(now, c.RemoteCost()); best < 0 || t < least {
 			best, least = i, t
 		}
 	}
 	return best, best >= 0
 }
 
-// expectedTime returns the expected completion time of one more request, in multiples of
-// the typical service time on an idle backend server.
-func (c *Candidate) expectedTime(now time.Time) float64 {
+// HasRecentReport reports whether the load report of c describes the current load.
+func (c *Candidate) HasRecentReport(now time.Time) bool { return now.Sub(c.ReportedAt) <= maxReportAge }
+
+// RemoteCost returns the time that c must save since it is in another data centre, in the
+// unit of ExpectedTime. It is 0 for a candidate of the entry's own data centre.
+func (c *Candidate) RemoteCost() float64 {
+	if c.SameCentre || c.SameInstance {
+		return 0
+	}
+	if c.TypicalTime <= 0 {
+		return remoteCost
+	}
+	return remoteCost + float64(c.CrossCost)/float64(c.TypicalTime)
+}
+
+// ExpectedTime returns the expected completion time of one more request, in multiples of
+// the typical service time on an idle backend server. It leaves out RemoteCost.
+func (c *Candidate) ExpectedTime(now time.Time) float64 { return c.expectedTime(now, 0) }
+
+// expectedTime returns the expected completion time with the given remote cost.
+func (c *Candidate) expectedTime(now time.Time, remote float64) float64 {
 	slow := float64(max(c.SlowPercent, normalSlowness)) / normalSlowness
 	limit := float64(max(c.Limit, 1))
 	running := float64(c.InFlight + c.Sent)
@@ -70,9 +88,7 @@
 	if c.TypicalTime > 0 {
 		t += float64(c.Wait) / float64(c.TypicalTime)
 	}
-	if !c.SameCentre && !c.SameInstance {
-		t += remoteCost
-	}
+	t += remote
 	if c.Unhealthy {
 		t *= unhealthyFactor
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -23,6 +23,13 @@
 type Candidate struct {
 	// SameCentre is set if the backend server is in the data centre of the entry.
 	SameCentre bool
+	// Centre is the name of the data centre, for policies that distinguish the others.
+	Centre string
+	// CrossCost is the time that the backend server must save since it is in another data
+	// centre, as measured and priced for the request; 0 if it is not known.
+	CrossCost time.Duration
+	// CrossTime is the part of CrossCost that the request spends on the way.
+	CrossTime time.Duration
 	// SameInstance is set if the backend server is on the same instance as the entry.
 	SameInstance bool
 	// Limit is the reported concurrency limit of the guard.
