feat(core/simul): scenarios for leaving a data centre

Waves that pass through the data centres at their own phases, also with late reports, the loss of a data centre, a slow one, and 5 to 8 backend servers of a service in each. The policies are never to leave, the constant cost of today, the least time alone, and core/cross.

--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -14,6 +14,9 @@
 	"bulrushlock/core/simul"
 )
 
+// defaultQueue is the default of the flag queue.
+const defaultQueue = 5 * time.Millisecond
+
 // measureFlags are the flags of the command measure.
 type measureFlags struct {
 	scenario string
@@ -25,6 +28,7 @@
 	plain    bool
 	format   string
 	plot     string
+	crossing bool
 }
 
 // noRunsError is returned if the flags match no scenario, size or policy.
@@ -46,8 +50,9 @@
 	c.Flag("policy", "Run only this policy.").StringVar(&f.policy)
 	c.Flag("seed", "Seed of all randomness.").Default("1").Uint64Var(&f.seed)
 	c.Flag("length", "Virtual length of a run.").Default("4s").DurationVar(&f.length)
-	c.Flag("queue", "Longest wait time at a guard; 0 or less rejects at once.").Default("5ms").DurationVar(&f.queue)
+	c.Flag("queue", "Longest wait time at a guard; 0 or less rejects at once.").Default(defaultQueue.String()).DurationVar(&f.queue)
 	c.Flag("plain", "Let guards admit by slots only, without the adaptive limit and the warm-up ramp.").BoolVar(&f.plain)
+	c.Flag("crossing", "Compare the policies for leaving a data centre instead.").BoolVar(&f.crossing)
 	c.Flag("format", "Format of the results.").Default("text").EnumVar(&f.format, "text", "json")
 	c.Flag("plot", "File for a plot of the results (SVG).").StringVar(&f.plot)
 	c.Action(func(*kingpin.ParseContext) error {
@@ -75,7 +80,7 @@
 		e.SetIndent("", "  ")
 		err = e.Encode(results)
 	} else {
-		err = printResults(out, results)
+		err = f.print(out, results)
 	}
 	if err != nil {
 		return &failedError{cause: err}
@@ -99,10 +104,18 @@
 	if f.queue == 0 {
 		options.QueueTimeout = -1
 	}
+	// The default wait time depends on the size, which may stretch all service times.
+	if f.queue == defaultQueue {
+		options.QueueTimeout = 0
+	}
+	sizes, scenarios, policies := simul.Sizes(), simul.Scenarios(), simul.Policies()
+	if f.crossing {
+		sizes, scenarios, policies = []simul.Size{simul.CrossingSize()}, simul.CrossingScenarios(), simul.CrossingPolicies()
+	}
 	var runs []run
-	for _, size := range simul.Sizes() {
-		for _, s := range simul.Scenarios() {
-			for _, p := range simul.Policies() {
+	for _, size := range sizes {
+		for _, s := range scenarios {
+			for _, p := range policies {
 				if matches(f.size, size.Name) && matches(f.scenario, s.Name) && matches(f.policy, p) {
 					runs = append(runs, run{scenario: s, size: size, policy: p, options: options})
 				}
@@ -146,6 +159,26 @@
 	return results, nil
 }
 
+// print prints the results in the columns that suit the policies.
+func (f measureFlags) print(out io.Writer, results []simul.Result) error {
+	if f.crossing {
+		return printCrossings(out, results)
+	}
+	return printResults(out, results)
+}
+
+// printCrossings prints one line per result of a policy for leaving a data centre.
+func printCrossings(out io.Writer, results []simul.Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "scene\tpolicy\ttimely reads %\ttimely writes %\tsuccess %\tp50 ms\tp99 ms\tleft %\tcrossed MB\tprobes\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t\n",
+			r.Scenario, r.Policy, 100*r.OnTime[0], 100*r.OnTime[1], 100*r.SuccessRatio, milliseconds(r.P50), milliseconds(r.P99),
+			100*float64(r.Crossings)/float64(max(r.Offered, 1)), float64(r.CrossBytes)/1e6, r.Probes)
+	}
+	return w.Flush()
+}
+
 // printResults prints one line per result.
 func printResults(out io.Writer, results []simul.Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/core/simul/entry.go
+++ b/core/simul/entry.go
@@ -60,6 +60,7 @@
 	policies    []pick.Policy
 	budget      *budget.Budget
 	listDelay   time.Duration
+	asker       *asker // Nil unless the policy is one for leaving a data centre.
 	result      *recorder
 
 	candidates       []pick.Candidate
@@ -69,6 +70,10 @@
 // serve handles a new request.
 func (e *entry) serve(r *request) {
 	e.budget.Deposit()
+	if e.asker != nil {
+		e.asker.ask(r, 1)
+		return
+	}
 	e.sendProbes(r.service)
 	e.send(r)
 }
@@ -76,7 +81,7 @@
 // send makes the next attempt for r.
 func (e *entry) send(r *request) {
 	e.collectCandidates(r)
-	i, ok := e.policies[r.service].Pick(e.clock.time(), e.random.Uint64(), e.candidates)
+	i, ok := e.pick(r)
 	if !ok {
 		e.result.recordEnd(r, rejected)
 		return
@@ -85,6 +90,8 @@
 	r.attempts++
 	r.lastServer = v
 	v.candidate.Outstanding++
+	v.candidate.Sent++
+	e.result.countCrossing(v, attemptBytes+classes[r.class].response)
 	if e.probing {
 		v.candidate.InFlight++
 	}
@@ -98,16 +105,29 @@
 	})
 }
 
+// pick selects one of the candidates for r.
+func (e *entry) pick(r *request) (int, bool) {
+	if e.asker != nil {
+		return e.asker.pick(r, e.candidates)
+	}
+	return e.policies[r.service].Pick(e.clock.time(), e.random.Uint64(), e.candidates)
+}
+
 // collectCandidates collects the candidates for r. It leaves out the backend server of
 // the last attempt if there is another candidate.
 func (e *entry) collectCandidates(r *request) {
 	e.candidates = e.candidates[:0]
 	e.candidateServers = e.candidateServers[:0]
 	for _, v := range e.servers[r.service] {
-		if !v.outOfService && v != r.lastServer {
-			e.candidates = append(e.candidates, v.candidate)
-			e.candidateServers = append(e.candidateServers, v)
+		if v.outOfService || v == r.lastServer {
+			continue
+		}
+		c := v.candidate
+		if e.asker != nil && !e.asker.prepare(r, &c) {
+			continue
 		}
+		e.candidates = append(e.candidates, c)
+		e.candidateServers = append(e.candidateServers, v)
 	}
 	if len(e.candidateServers) == 0 && r.lastServer != nil && !r.lastServer.outOfService {
 		e.candidates = append(e.candidates, r.lastServer.candidate)
@@ -127,6 +147,9 @@
 	switch {
 	case p.outcome == ran:
 		v.candidate.Failures = 0
+		if e.asker != nil {
+			e.asker.toll.ObserveResponse(r.class, classes[r.class].response)
+		}
 		if !e.probing {
 			v.candidate.Latency += (latency - v.candidate.Latency) / entryLatencySamples
 		}
@@ -156,6 +179,9 @@
 	v.candidate.Queued = p.load.Queued
 	v.candidate.Limit = p.load.Limit
 	v.candidate.Cold = p.load.Cold
+	v.candidate.SlowPercent = p.load.Slow
+	v.candidate.Wait = p.load.Wait
+	v.candidate.Sent = 0
 	v.candidate.ReportedAt = e.clock.time()
 }
 
--- a/core/simul/fault.go
+++ b/core/simul/fault.go
@@ -32,6 +32,9 @@
 	if sm.scenario.CentreOutage {
 		sm.takeCentreOut(from, to)
 	}
+	if sm.scenario.SlowCentre {
+		sm.scheduleSlowCentre(from, to)
+	}
 	if sm.scenario.NoisyNeighbours {
 		sm.scheduleNoise()
 	}
@@ -57,8 +60,10 @@
 func (sm *simulation) takeCentreOut(from, to time.Duration) {
 	sm.scheduleWindow(from+callerDelay, to, func() { sm.centreOut = 0 }, func() { sm.centreOut = -1 })
 	for service, guards := range sm.guards {
-		for i := 0; i < len(guards); i += sm.size.Centres {
-			g := guards[i]
+		for i, g := range guards {
+			if sm.size.centreOf(service, i) != 0 {
+				continue
+			}
 			lag := time.Duration(sm.faultRandom.Int64N(int64(maxDrainDelay)))
 			sm.scheduleWindow(from+lag, to, g.drain, func() {
 				g.returnToService()
--- a/core/simul/guard.go
+++ b/core/simul/guard.go
@@ -20,6 +20,9 @@
 	failed
 )
 
+// normalSlowness is the slowness of a backend server at normal speed, in percent.
+const normalSlowness = 100
+
 // guardLatencySamples is the number of requests over which a guard smooths its latency.
 const guardLatencySamples = 50
 
@@ -89,7 +92,17 @@
 		Limit:    g.concurrencyLimit(),
 		Cold:     !g.slotsOnly && g.ramp.IsCold(),
 		Leaving:  g.leaving,
+		Slow:     int(normalSlowness * g.server.slowdown * g.server.noise),
+		Wait:     g.wait(),
+	}
+}
+
+// wait returns the expected time in the queue for one more request.
+func (g *guard) wait() time.Duration {
+	if g.server.running < g.concurrencyLimit() {
+		return 0
 	}
+	return g.latency * time.Duration(len(g.queue)+1) / time.Duration(max(g.concurrencyLimit(), 1))
 }
 
 // newResponse returns the response for o.
--- a/core/simul/result.go
+++ b/core/simul/result.go
@@ -51,6 +51,13 @@
 	// of those that did so afterwards.
 	ExcessBeforeDetection int `json:"blind"`
 	ExcessAfterDetection  int `json:"excess"`
+	// OnTime is, for each class, the fraction of the requests that succeeded within three times
+	// the mean service time of the class, with its stretch.
+	OnTime []float64 `json:"timely"`
+	// Crossings is the number of attempts that were sent to another data centre, and CrossBytes
+	// the number of bytes of these and of load probes between data centres.
+	Crossings  int   `json:"crossings"`
+	CrossBytes int64 `json:"crossed"`
 	// Series covers the whole run.
 	Series []Point `json:"series,omitempty"`
 }
@@ -75,16 +82,26 @@
 	retries  int
 	probes   int
 	series   []Point
+	// stretch is the factor on the service times.
+	stretch float64
+	// classOffered and classOnTime count requests by class.
+	classOffered []int
+	classOnTime  []int
+	crossings    int
+	crossBytes   int64
 }
 
 // newRecorder returns an empty recorder for the requests that arrive between from and to.
-func newRecorder(c *clock, from, to time.Duration) *recorder {
+func newRecorder(c *clock, from, to time.Duration, stretch float64) *recorder {
 	return &recorder{
-		clock:    c,
-		from:     from,
-		to:       to,
-		latency:  hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
-		overhead: hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
+		clock:        c,
+		stretch:      stretch,
+		classOffered: make([]int, len(classes)),
+		classOnTime:  make([]int, len(classes)),
+		from:         from,
+		to:           to,
+		latency:      hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
+		overhead:     hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
 	}
 }
 
@@ -94,6 +111,19 @@
 	r.point(q).Offered++
 	if r.isCounted(q) {
 		r.offered++
+		r.classOffered[q.class]++
+	}
+}
+
+// countCrossing counts bytes that are exchanged with v if it is in another data centre. More
+// bytes than a load probe has are those of an attempt.
+func (r *recorder) countCrossing(v *serverState, bytes int64) {
+	if v.candidate.SameCentre || r.clock.now < r.from || r.clock.now >= r.to {
+		return
+	}
+	r.crossBytes += bytes
+	if bytes > probeBytes {
+		r.crossings++
 	}
 }
 
@@ -110,6 +140,9 @@
 		return
 	}
 	latency := min(r.clock.now-q.arrived, maxLatency)
+	if latency <= time.Duration(targetFactor*r.stretch*float64(classes[q.class].mean)) {
+		r.classOnTime[q.class]++
+	}
 	_ = r.latency.RecordValue(latency.Microseconds()) // The value is in range.
 	_ = r.overhead.RecordValue((latency - q.work).Microseconds())
 }
@@ -146,8 +179,13 @@
 		SuccessRatio: float64(r.counts[ran]) / float64(max(r.offered, 1)),
 		Retries:      float64(r.retries) / all,
 		Probes:       float64(r.probes) / all,
+		Crossings:    r.crossings,
+		CrossBytes:   r.crossBytes,
 		Series:       r.series,
 	}
+	for i, offered := range r.classOffered {
+		result.OnTime = append(result.OnTime, float64(r.classOnTime[i])/float64(max(offered, 1)))
+	}
 	for _, guards := range sm.guards {
 		for _, g := range guards {
 			result.PeakLoad = max(result.PeakLoad, g.server.peakLoad)
--- a/core/simul/run.go
+++ b/core/simul/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"bulrushlock/core/budget"
@@ -59,12 +60,14 @@
 	share      float64
 	mean       time.Duration
 	idempotent bool
+	// response is the size of a response in bytes.
+	response int64
 }
 
 // classes lists the request classes; their shares add up to 1.
 var classes = []class{
-	{share: 0.9, mean: 4 * time.Millisecond, idempotent: true},
-	{share: 0.1, mean: 12 * time.Millisecond},
+	{share: 0.9, mean: 4 * time.Millisecond, idempotent: true, response: 5000},
+	{share: 0.1, mean: 12 * time.Millisecond, response: 400},
 }
 
 // Options configures a run.
@@ -109,6 +112,8 @@
 		return pick.NewTwoChoicesByReport(), nil
 	case "probing":
 		return pick.NewHotCold(), nil
+	case stayHome, constantCost, leastTime, decideCrossing:
+		return pick.NewLoadAware(), nil
 	}
 	return nil, &PolicyError{Name: name}
 }
@@ -138,7 +143,7 @@
 		o.Length = defaultLength
 	}
 	if o.QueueTimeout == 0 {
-		o.QueueTimeout = defaultQueueTimeout
+		o.QueueTimeout = time.Duration(size.stretch() * float64(defaultQueueTimeout))
 	}
 	c := &clock{}
 	sm := &simulation{
@@ -147,13 +152,13 @@
 		faultRandom:   rand.New(rand.NewPCG(o.Seed, 2)),
 	}
 	from, to := o.Length/warmUpDivisor, o.Length
-	if s.SlowServer || s.SlowDependency || s.ColdStarts || s.FailingServer || s.CentreOutage {
+	if s.SlowServer || s.SlowDependency || s.ColdStarts || s.FailingServer || s.CentreOutage || s.SlowCentre {
 		from, to = sm.faultWindow()
 	}
 	if s.ColdStarts || s.CentreOutage {
 		to = o.Length
 	}
-	sm.result = newRecorder(c, from, to)
+	sm.result = newRecorder(c, from, to, size.stretch())
 	sm.build(policy)
 	sm.scheduleFaults()
 	sm.scheduleArrival()
@@ -170,9 +175,9 @@
 		}
 		sm.guards = append(sm.guards, guards)
 	}
-	for _, guards := range sm.guards {
+	for service, guards := range sm.guards {
 		for i, g := range guards {
-			sm.addEntry(policy, g, i%sm.size.Centres)
+			sm.addEntry(policy, g, sm.size.centreOf(service, i))
 		}
 	}
 }
@@ -188,10 +193,12 @@
 		result:      sm.result,
 	}
 	e.listDelay = time.Duration(e.random.Int64N(int64(maxListDelay)))
-	for _, guards := range sm.guards {
+	e.asker = newAsker(policy, e, sm.size)
+	for service, guards := range sm.guards {
 		servers := make([]*serverState, len(guards))
 		for i, other := range guards {
-			servers[i] = newServerState(sm.size, other, i%sm.size.Centres == centre, other == g)
+			away := (sm.size.centreOf(service, i) - centre + sm.size.Centres) % sm.size.Centres
+			servers[i] = newServerState(sm.size, other, away, other == g)
 		}
 		e.servers = append(e.servers, servers)
 		p, _ := newPolicy(policy) // Run has checked the name.
@@ -201,10 +208,15 @@
 	sm.centres = append(sm.centres, centre)
 }
 
-// newServerState returns the state of a backend server before any load report.
-func newServerState(size Size, g *guard, sameCentre, sameInstance bool) *serverState {
+// newServerState returns the state of a backend server before any load report. The argument away
+// numbers its data centre as seen from the entry, whose own is 0.
+func newServerState(size Size, g *guard, away int, sameInstance bool) *serverState {
 	v := &serverState{guard: g, delay: size.Delay}
-	v.candidate = pick.Candidate{SameCentre: sameCentre, SameInstance: sameInstance, Limit: size.Slots}
+	sameCentre := away == 0
+	v.candidate = pick.Candidate{SameCentre: sameCentre, Centre: homeName, SameInstance: sameInstance, Limit: size.Slots}
+	if !sameCentre {
+		v.candidate.Centre = awayName + strconv.Itoa(away)
+	}
 	switch {
 	case sameInstance:
 		v.delay = sameInstanceDelay
@@ -222,10 +234,7 @@
 			return
 		}
 		r := sm.newRequest()
-		e := sm.arrivalRandom.IntN(len(sm.entries))
-		for sm.centres[e] == sm.centreOut {
-			e = sm.arrivalRandom.IntN(len(sm.entries))
-		}
+		e := sm.drawEntry()
 		sm.result.recordArrival(r)
 		sm.entries[e].serve(r)
 		sm.scheduleArrival()
@@ -241,7 +250,7 @@
 	for _, k := range classes {
 		mean += k.share * k.mean.Seconds()
 	}
-	return sm.scenario.Load * float64(servers*sm.size.Slots) / mean
+	return sm.scenario.Load * float64(servers*sm.size.Slots) / (mean * sm.size.stretch())
 }
 
 // loadFactor returns the ratio of the load at the given time to the normal load.
@@ -279,6 +288,6 @@
 	}
 	k := classes[r.class]
 	r.idempotent = k.idempotent
-	r.work = time.Duration((0.5 + 0.5*sm.arrivalRandom.ExpFloat64()) * float64(k.mean))
+	r.work = time.Duration((0.5 + 0.5*sm.arrivalRandom.ExpFloat64()) * sm.size.stretch() * float64(k.mean))
 	return r
 }
--- a/core/simul/simul.go
+++ b/core/simul/simul.go
@@ -36,6 +36,11 @@
 	FailingServer bool
 	// CentreOutage takes a data centre out of service and brings it back.
 	CentreOutage bool
+	// SlowCentre makes all backend servers of one data centre slower for a while.
+	SlowCentre bool
+	// Wave is the swing of the load of each data centre around its mean, as a fraction. The waves
+	// pass through the data centres one after the other.
+	Wave float64
 	// NoisyNeighbours slows random backend servers down for short times, as noisy neighbours do.
 	NoisyNeighbours bool
 	// ReportDelay is the delay with which load reports reach the entry.
@@ -50,8 +55,13 @@
 	Delay time.Duration
 	// Services is the number of backend servers of each service.
 	Services []int
+	// Placed is the number of backend servers of each service in each data centre; if it is nil,
+	// they are spread evenly.
+	Placed [][]int
 	// Slots is the number of requests that a backend server runs concurrently.
 	Slots int
+	// Stretch is a factor on all service times and on the default queue timeout; 0 means 1.
+	Stretch float64
 }
 
 // Scenarios returns the scenarios in the order in which reports list them.
