feat(core/gossip): new documents enter a data centre once where that is preferred

A node that prefers home announces a version that it read from the platform to two gateways of each other data centre, which fetch it at once. All others wait for 200 ms until a peer at home holds it. Of the rounds of version exchanges one in four has a peer elsewhere. Without PreferHome nothing changes.

Weighed: fetching from the first announcer as before, and holding the fetches of all nodes, which would have nobody fetch first. Checks after a pause and rules that an attempt names are fetched as before.

TestDocumentsEnterDataCentresOnce counts the documents.

--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -89,6 +89,10 @@
 	staleLag  time.Duration
 	queue     deliveries
 	sequence  int
+	// prefersHome makes the nodes prefer their own data centres.
+	prefersHome bool
+	// crossed is the number of documents that were fetched from another data centre.
+	crossed int
 }
 
 // delivery is something that happens at a time.
@@ -113,17 +117,22 @@
 	return last
 }
 
-// newContactFleet returns a fleet of count nodes that start together.
+// newContactFleet returns a fleet of count nodes in one data centre that start together.
 func newContactFleet(c *qt.C, count int, seed uint64) *contactFleet {
-	f := &contactFleet{now: contactStart, random: rand.New(rand.NewPCG(seed, 25)), index: make(map[string]int)}
+	return newSpreadFleet(c, count, 1, false, seed)
+}
+
+// newSpreadFleet returns a fleet of count nodes in several data centres that start together.
+func newSpreadFleet(c *qt.C, count, centres int, prefersHome bool, seed uint64) *contactFleet {
+	f := &contactFleet{now: contactStart, random: rand.New(rand.NewPCG(seed, 25)), index: make(map[string]int), prefersHome: prefersHome}
 	f.published = []time.Time{f.now.Add(-time.Minute)}
 	f.staleLag = time.Duration(f.random.Int64N(int64(6 * time.Second)))
 	for i := range count {
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i % 200)}), 1)
-		in := fleet.Instance{Name: fmt.Sprintf("s%d-i%d", seed, i), Centre: "north", Service: "ledger", ForwardAddr: a, ControlAddr: a}
+		in := fleet.Instance{Name: fmt.Sprintf("s%d-i%d", seed, i), Centre: fmt.Sprintf("centre-%d", i*centres/count), Service: "ledger", ForwardAddr: a, ControlAddr: a}
 		f.index[in.Name] = i
 		f.instances = append(f.instances, in)
-		f.nodes = append(f.nodes, gossip.New(in.Name, "north"))
+		f.nodes = append(f.nodes, nil)
 		f.starts = append(f.starts, 0)
 	}
 	text, err := fleet.Format(f.instances)
@@ -154,7 +163,10 @@
 // start starts a node with nothing.
 func (f *contactFleet) start(node int) {
 	f.starts[node]++
-	f.nodes[node] = gossip.New(f.instances[node].Name, "north")
+	f.nodes[node] = gossip.New(f.instances[node].Name, f.instances[node].Centre)
+	if f.prefersHome {
+		f.nodes[node].PreferHome()
+	}
 	f.onNode(node, 0, func(g *gossip.Gossip) []effect.Effect { return g.Start(f.now, nil) })
 	f.tick(node)
 }
@@ -336,6 +348,9 @@
 		if revision == 0 {
 			return f.readFailed(g, e)
 		}
+		if f.instances[peer].Centre != f.instances[node].Centre {
+			f.crossed++
+		}
 		_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Revision: revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 		return out
 	})
@@ -547,8 +562,12 @@
 // runMixedFaults runs a fleet through random faults and publications of rules. It returns the
 // first node in contact that is late, or an empty text.
 func runMixedFaults(c *qt.C, nodes int, seed uint64) string {
+	return newContactFleet(c, nodes, seed).runMixedFaults()
+}
+
+// runMixedFaults runs the fleet, which has just started, as the function of this name does.
+func (f *contactFleet) runMixedFaults() string {
 	const faults, changes, settling, length = 6, 8, 5 * time.Second, 30 * time.Second
-	f := newContactFleet(c, nodes, seed)
 	from := contactStart.Add(settling)
 	if late := f.advance(from); late != "" {
 		return late
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -127,6 +127,7 @@
 	// the previous list whose registrations may have expired during an outage of the platform.
 	instances        []fleet.Instance
 	keepMissingUntil time.Time
+	home             homeState
 }
 
 // New returns the empty views of the node of the given instance in the given data centre.
@@ -211,7 +212,7 @@
 	out = append(out, effect.LogEvent{Kind: kind, Text: text})
 	confirmation, out := g.confirmFromPlatform(e, out)
 	change.Freshness = confirmation.Freshness
-	return change, g.announceNewVersion(e.At, random, out)
+	return change, g.announceNewVersion(e.At, e.From, random, out)
 }
 
 // sourceName returns the name of a source for the event log.
@@ -234,6 +235,7 @@
 	}
 	g.peers = g.withoutSelf(g.instances)
 	g.position = readingPosition(g.instance, listed)
+	g.home.applyFleet(g.instance, g.centre, g.instances)
 }
 
 // retainUnlisted retains the instances of the previous list that are missing from the current one
@@ -298,7 +300,7 @@
 	}
 	if interval, fanout := g.exchangeRound(e.At); e.At.Sub(g.lastRound) >= interval {
 		g.lastRound = e.At
-		out = g.exchangeVersions(e.At, e.Random, fanout, out)
+		out = g.exchangeWith(e.At, g.roundPeers(e.Random, fanout), out)
 	}
 	return change, out
 }
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -59,6 +59,11 @@
 	// one was pending, or nil.
 	alternate        *fleet.Instance
 	alternateVersion view.Version
+	// away is a peer in another data centre that announced awayVersion, which is fetched from it
+	// at awayAt unless a peer at home has delivered it, or nil.
+	away        *fleet.Instance
+	awayVersion view.Version
+	awayAt      time.Time
 }
 
 // fetchFromPlatform reads a document from the platform, unless a read is pending.
@@ -124,6 +129,7 @@
 // done so.
 func (g *Gossip) readIfDue(d event.Document, e event.Tick, out []effect.Effect) []effect.Effect {
 	out = g.fetchFromAlternate(d, e.At, out)
+	out = g.fetchFromAway(d, e.At, out)
 	r := &g.reads[d]
 	if r.platformReadPending || e.At.Before(r.retryAt) || len(g.peers) == 0 && e.At.Before(r.aloneUntil) {
 		return out
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -13,8 +13,13 @@
 
 // exchangeVersions exchanges versions with up to count random peers.
 func (g *Gossip) exchangeVersions(at time.Time, random uint64, count int, out []effect.Effect) []effect.Effect {
+	return g.exchangeWith(at, randomPeers(g.peers, random, count), out)
+}
+
+// exchangeWith exchanges versions with peers.
+func (g *Gossip) exchangeWith(at time.Time, peers []fleet.Instance, out []effect.Effect) []effect.Effect {
 	versions := g.Versions(at)
-	for _, p := range g.randomPeers(random, count) {
+	for _, p := range peers {
 		out = append(out, effect.ExchangeVersions{Peer: p, Versions: versions})
 	}
 	return out
@@ -23,22 +28,26 @@
 // announceNewVersion announces a new version to a few random peers, which fetch it from this node
 // and announce it in turn. If all peers were informed at once, they would all fetch a
 // large document from one small instance. In contrast, broadcastVersions informs all peers.
-func (g *Gossip) announceNewVersion(at time.Time, random uint64, out []effect.Effect) []effect.Effect {
+func (g *Gossip) announceNewVersion(at time.Time, from event.DocumentSource, random uint64, out []effect.Effect) []effect.Effect {
 	g.lastBroadcast = at
 	if len(g.peers) == 0 {
 		return out
 	}
-	return append(out, effect.BroadcastVersions{Peers: g.randomPeers(random, announceFanout), Versions: g.Versions(at)})
+	peers := randomPeers(g.peers, random, announceFanout)
+	if g.home.isActive() {
+		peers = g.home.announcePeers(from, random)
+	}
+	return append(out, effect.BroadcastVersions{Peers: peers, Versions: g.Versions(at)})
 }
 
-// randomPeers returns up to count distinct random peers.
-func (g *Gossip) randomPeers(random uint64, count int) []fleet.Instance {
-	order := stride.New(random, len(g.peers))
-	var peers []fleet.Instance
-	for i := range min(count, len(g.peers)) {
-		peers = append(peers, g.peers[order.At(i)])
-	}
-	return peers
+// randomPeers returns up to count distinct random ones of peers.
+func randomPeers(peers []fleet.Instance, random uint64, count int) []fleet.Instance {
+	order := stride.New(random, len(peers))
+	var selected []fleet.Instance
+	for i := range min(count, len(peers)) {
+		selected = append(selected, peers[order.At(i)])
+	}
+	return selected
 }
 
 // VersionsReceived handles the versions that a peer sent. Newer versions are fetched; equal ones
@@ -48,10 +57,10 @@
 	g.heardAt = e.At
 	p := g.sender(e)
 	if g.fleet.NeedsFetch(e.Versions.Fleet) {
-		out = g.fetchFromPeer(e.At, event.Fleet, p, e.Versions.Fleet, out)
+		out = g.fetchAnnounced(e, event.Fleet, p, e.Versions.Fleet, out)
 	}
 	if g.rules.NeedsFetch(e.Versions.Rules) {
-		return Change{}, g.fetchFromPeer(e.At, event.Rules, p, e.Versions.Rules, out)
+		return Change{}, g.fetchAnnounced(e, event.Rules, p, e.Versions.Rules, out)
 	}
 	becameFresh := g.confirmFromPeer(e)
 	if e.Relay && g.rules.AdoptIfSameText(e.Versions.Rules) && g.fleet.AdoptIfSameText(e.Versions.Fleet) {
@@ -160,15 +169,19 @@
 		return out
 	}
 	r.alternate = nil
-	isWanted := g.rules.NeedsFetch(v)
-	if d == event.Fleet {
-		isWanted = g.fleet.NeedsFetch(v)
-	}
-	if !isWanted {
+	if !g.needsFetch(d, v) {
 		return out
 	}
 	return g.fetchFromPeer(at, d, p, v, out)
 }
 
+// needsFetch reports whether v is a newer version of a document and worth fetching.
+func (g *Gossip) needsFetch(d event.Document, v view.Version) bool {
+	if d == event.Fleet {
+		return g.fleet.NeedsFetch(v)
+	}
+	return g.rules.NeedsFetch(v)
+}
+
 // PeerUnreachable handles a peer that could not be reached.
 func (g *Gossip) PeerUnreachable() Change { return Change{Freshness: g.freshness.fail()} }
