feat(core/entry): requests leave their data centre by gain, cost and share

With a price of bytes between data centres, an entry probes guards at home in up to two rounds and others only if a backend server there may be worth it. Round trips of probes and the sizes of responses feed the cost. A body that has left once stays at home afterwards if it can; late work prefers home, and hedges pay the same cost. The line `placed` tells gain, cost and share, and counters tell how many requests left, why, and how many were held back.

Without a price the probes, selections and events are as before.

--- a/core/entry/decisions.go
+++ b/core/entry/decisions.go
@@ -37,6 +37,7 @@
 		},
 	}
 	d.Facts = appendCustomer(d.Facts, req)
+	d.Facts = append(d.Facts, crossingFacts(req)...)
 	d.CandidateLoads = n.recentLoads(now, req)
 	return append(out, d)
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushlock/core/allot"
+	"bulrushlock/core/cross"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
@@ -24,6 +25,7 @@
 	"bulrushlock/core/split"
 	"bulrushlock/core/ticket"
 	"bulrushlock/core/timing"
+	"bulrushlock/core/toll"
 	"bulrushlock/core/waited"
 )
 
@@ -51,6 +53,9 @@
 	// MaxCredentialAge is the age of the rules up to which a credential that they know counts; 0
 	// means any.
 	MaxCredentialAge time.Duration
+	// CrossPrice is the waiting time that is as bad as one megabyte sent to another data
+	// centre. At 0 bytes have no price, and requests leave the data centre at a fixed cost.
+	CrossPrice time.Duration
 }
 
 // Entry tracks the requests of its callers. It is a reducer: its methods take events and
@@ -90,6 +95,10 @@
 	checking bool
 	// held are the requests whose credential is in doubt, in the order of their arrival.
 	held []event.Request
+	// toll estimates the cost of crossing to other data centres, and crossings decide for
+	// each service who crosses. Without a price, toll is nil.
+	toll      *toll.Toll
+	crossings map[string]*cross.Policy
 }
 
 // route is the part of a routing rule that identifies a class of requests.
@@ -101,7 +110,7 @@
 
 // New returns an Entry without rules and without backend servers.
 func New(c Config, p pick.Policy) *Entry {
-	return &Entry{
+	n := &Entry{
 		config:           c,
 		policy:           p,
 		freshPolicy:      pick.NewLeastExpectedTime(),
@@ -115,7 +124,12 @@
 		splitters:        make(map[int]*split.Splitter),
 		callerTimeouts:   make(map[int]*waited.Estimator),
 		serviceTimes:     timing.New(),
+		crossings:        make(map[string]*cross.Policy),
 	}
+	if c.CrossPrice > 0 {
+		n.toll = toll.New(c.CrossPrice)
+	}
+	return n
 }
 
 // SetRules replaces the rules and the instance list.
@@ -134,6 +148,7 @@
 		}
 		n.addToService(n.peers[i.Name])
 	}
+	n.retainCrossings()
 }
 
 // addToService adds a peer to those that may get requests for its service.
@@ -255,8 +270,32 @@
 	if req.isKeyed() {
 		return n.keyOwner(req)
 	}
+	n.collectCandidates(now, req)
+	if n.config.ProbeCount > 0 {
+		if i, ok := n.pickProbed(now, random, req); ok {
+			return n.eligible[i]
+		}
+	}
+	i, ok := n.policy.Pick(now, random, n.candidates)
+	if !ok {
+		return nil
+	}
+	return n.eligible[i]
+}
+
+// pickProbed selects among the candidates with a recent load report.
+func (n *Entry) pickProbed(now time.Time, random uint64, req *request) (int, bool) {
+	if n.toll != nil {
+		return n.pickCrossing(now, random, req)
+	}
+	return n.freshPolicy.Pick(now, random, n.candidates)
+}
+
+// collectCandidates collects the peers that the next attempt of req may be sent to.
+func (n *Entry) collectCandidates(now time.Time, req *request) {
 	n.eligible = n.eligible[:0]
 	n.candidates = n.candidates[:0]
+	centre, cost, onTheWay := "", time.Duration(0), time.Duration(0)
 	for _, p := range n.services[req.service] {
 		if req.hasTried(p.instance.Name) || p.isLeaving(now) {
 			continue
@@ -265,16 +304,19 @@
 		k := p.candidate(n.config.Node, n.config.Centre)
 		k.TypicalTime = n.typicalTimeOf(req)
 		k.Wait = p.waitOf(req.route.Priority, now)
+		if n.toll != nil && !k.SameCentre {
+			if k.Centre != centre {
+				centre, cost = k.Centre, n.toll.Cost(req.class, req.size, n.config.Centre, k.Centre)
+				onTheWay = n.toll.Time(n.config.Centre, k.Centre)
+			}
+			k.CrossCost, k.CrossTime = cost, onTheWay
+		}
 		n.candidates = append(n.candidates, k)
 	}
-	if i, ok := n.freshPolicy.Pick(now, random, n.candidates); ok && n.config.ProbeCount > 0 {
-		return n.eligible[i]
+	// A body leaves the data centre once only.
+	if n.toll != nil && req.hasCrossed && req.size != 0 {
+		n.keepHome()
 	}
-	i, ok := n.policy.Pick(now, random, n.candidates)
-	if !ok {
-		return nil
-	}
-	return n.eligible[i]
 }
 
 // reply completes req without a response of a backend server.
--- a/core/entry/hedge.go
+++ b/core/entry/hedge.go
@@ -95,8 +95,7 @@
 		return out
 	}
 	if probed := n.loadProbeTargets(e.At, e.Random, req); len(probed) > 0 {
-		req.awaitingLoads = true
-		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
+		return probeLoads(e.At, req, probed, out)
 	}
 	return n.hedge(e.At, e.Random, req, out)
 }
--- a/core/entry/peer.go
+++ b/core/entry/peer.go
@@ -112,6 +112,7 @@
 func (p *peer) candidate(self ticket.NodeID, centre string) pick.Candidate {
 	return pick.Candidate{
 		SameCentre:   p.instance.Centre == centre,
+		Centre:       p.instance.Centre,
 		SameInstance: p.instance.Name == self.Instance,
 		Limit:        p.load.Limit,
 		InFlight:     p.load.InFlight,
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bulrushlock/core/allot"
+	"bulrushlock/core/cross"
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/nested"
@@ -54,6 +55,14 @@
 	// bodyOnce is set if the body can be sent only once, and bodySent after it was sent.
 	bodyOnce bool
 	bodySent bool
+	// size is the length of the body in bytes, or -1 if it is unknown.
+	size int64
+	// crossing is the last decision whether to leave the data centre, and hasCrossed is set
+	// after an attempt has left it.
+	crossing   cross.Decision
+	hasCrossed bool
+	// probedAt is the time at which the load probes in progress were sent.
+	probedAt time.Time
 	limits   nested.Limits
 	deadline time.Time
 	// last is the ticket of the last attempt, or of the attempt whose outcome the caller
@@ -128,7 +137,7 @@
 
 // start starts to process a request that has arrived at the time now or was held until then.
 func (n *Entry) start(now time.Time, e event.Request, out []effect.Effect) []effect.Effect {
-	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
+	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, size: e.Size, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
 	if n.rules == nil {
 		return n.reply(now, req, effect.NotRun, effect.ReasonRules, out)
 	}
@@ -168,8 +177,7 @@
 	budgets.retries.Deposit()
 	budgets.hedges.Deposit()
 	if probed := n.loadProbeTargets(now, e.Random, req); len(probed) > 0 {
-		req.awaitingLoads = true
-		return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
+		return probeLoads(now, req, probed, out)
 	}
 	return n.forward(now, e.Random, req, effect.ReasonServers, out)
 }
@@ -262,6 +270,7 @@
 		out = append(out, effect.LogEvent{Kind: effect.KindAttempt, Ticket: &t})
 	}
 	out = n.logSelected(now, req, t, out)
+	out = n.countCrossing(req, p, out)
 	limits := req.limits
 	limits.TimeLeft = req.deadline.Sub(now)
 	return append(out, effect.Forward{
--- a/core/entry/response.go
+++ b/core/entry/response.go
@@ -68,6 +68,7 @@
 	}
 	n.observeLatency(req.class, e.Latency)
 	n.observeServiceTime(req, e)
+	n.observeResponseSize(req, e)
 	out = logDone(req, e, out)
 	out = n.cancelAll(req, out)
 	delete(n.requests, req.id)
--- a/core/entry/target.go
+++ b/core/entry/target.go
@@ -16,30 +16,49 @@
 // loadProbeTargets returns the guards to probe for their load before req is sent: random ones
 // of the entry's own data centre first, then of others. All guards of a data centre are
 // equally likely, whatever their order in the instance list. The guard of the entry's own
-// instance needs no probe.
+// instance needs no probe. If crossing has a price, other data centres are probed only where
+// the own one has no guard to probe.
 func (n *Entry) loadProbeTargets(now time.Time, random uint64, req *request) []fleet.Instance {
 	if n.config.ProbeCount == 0 || req.isKeyed() || len(n.services[req.service]) < 2 {
 		return nil
 	}
-	var targets []fleet.Instance
-	for _, peers := range n.probeOrder[req.service] {
-		order := stride.New(random, len(peers))
-		for i := range peers {
-			p := peers[order.At(i)]
-			if len(targets) == n.config.ProbeCount {
-				return targets
-			}
-			if req.hasTried(p.instance.Name) || p.isLeaving(now) && !p.needsEndingProbe(now) {
-				continue
-			}
-			if now.Sub(p.reportedAt) > freshLoadAge {
-				targets = append(targets, p.instance)
-			}
-		}
+	order := n.probeOrder[req.service]
+	targets, isKnown := n.appendTargets(now, random, req, order[0], nil)
+	if n.toll != nil && (isKnown || len(targets) > 0) {
+		return targets
 	}
+	targets, _ = n.appendTargets(now, random, req, order[1], targets)
 	return targets
 }
 
+// appendTargets appends random guards of peers to those that are to be probed for req, up to
+// the probe count. The result isKnown reports that the load of another one is known already.
+func (n *Entry) appendTargets(now time.Time, random uint64, req *request, peers []*peer, targets []fleet.Instance) (all []fleet.Instance, isKnown bool) {
+	order := stride.New(random, len(peers))
+	for i := range peers {
+		p := peers[order.At(i)]
+		if len(targets) == n.config.ProbeCount {
+			break
+		}
+		if req.hasTried(p.instance.Name) || p.isLeaving(now) && !p.needsEndingProbe(now) {
+			continue
+		}
+		if now.Sub(p.reportedAt) <= freshLoadAge {
+			isKnown = true
+			continue
+		}
+		targets = append(targets, p.instance)
+	}
+	return targets, isKnown
+}
+
+// probeLoads sends load probes to the guards of targets for req.
+func probeLoads(now time.Time, req *request, targets []fleet.Instance, out []effect.Effect) []effect.Effect {
+	req.awaitingLoads = true
+	req.probedAt = now
+	return append(out, effect.ProbeCandidates{ID: req.id, Peers: targets, Priority: req.route.Priority})
+}
+
 // CandidatesProbed sends a request, or a hedge of it, after the load probes for it have ended.
 // It rejects the request if it would miss its latency target and no peer has capacity to
 // spare.
@@ -52,14 +71,17 @@
 		return out
 	}
 	req.awaitingLoads = false
+	n.observeRoundTrips(req, e.Loads)
 	if len(req.activeTickets) > 0 {
 		return n.hedge(e.At, e.Random, req, out)
 	}
 	req.probeRounds++
+	if probed := n.crossingTargets(e.At, e.Random, req); len(probed) > 0 {
+		return probeLoads(e.At, req, probed, out)
+	}
 	if n.wouldMissTarget(e.At, e.Random, req) {
 		if probed := n.loadProbeTargets(e.At, e.Random, req); len(probed) > 0 && req.probeRounds < maxProbeRounds {
-			req.awaitingLoads = true
-			return append(out, effect.ProbeCandidates{ID: req.id, Peers: probed, Priority: req.route.Priority})
+			return probeLoads(e.At, req, probed, out)
 		}
 		if p := n.peerForLateRequest(e.At, req); p != nil {
 			return n.send(e.At, e.Random, req, p, out)
@@ -84,13 +106,22 @@
 		if !free || l.Cold || l.Ill || req.hasTried(p.instance.Name) || p.isLeaving(now) || now.Sub(p.reportedAt) > recentLoadAge {
 			continue
 		}
-		if best == nil || l.Slow < best.load.Slow || l.Slow == best.load.Slow && l.InFlight+p.sent < best.load.InFlight+best.sent {
+		if best == nil || n.isBetterForLate(p, best) {
 			best = p
 		}
 	}
 	return best
 }
 
+// isBetterForLate reports whether a request that is expected to be late goes to a rather than to
+// b: to the own data centre if crossing has a price, then to the faster and less busy one.
+func (n *Entry) isBetterForLate(a, b *peer) bool {
+	if atHome := a.instance.Centre == n.config.Centre; n.toll != nil && atHome != (b.instance.Centre == n.config.Centre) {
+		return atHome
+	}
+	return a.load.Slow < b.load.Slow || a.load.Slow == b.load.Slow && a.load.InFlight+a.sent < b.load.InFlight+b.sent
+}
+
 const (
 	// maxProbeRounds is the number of times that guards are probed before the first
 	// attempt of a request.
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -88,6 +88,8 @@
 	Status int
 	// Latency is the time from sending the attempt to receiving the response header.
 	Latency time.Duration
+	// Size is the length in bytes of the body of the response, or -1 if it is unknown.
+	Size int64
 	// BodyUnread is set if the body can be sent only once, no byte of it was read, and the attempt
 	// cannot read it anymore.
 	BodyUnread bool
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -54,6 +54,10 @@
 	// ProbeCount is the number of guards that are probed for their load before a request is sent. If
 	// it is 0, the entry relies on the load reports in earlier responses.
 	ProbeCount int
+	// CrossPrice is the waiting time that is as bad as one megabyte sent to another data centre.
+	// If it is 0, requests leave the data centre by fixed costs, and versions are exchanged
+	// with all nodes alike.
+	CrossPrice time.Duration
 	// RequireListed makes the node reject new work while the instance list does not contain its
 	// backend server.
 	RequireListed bool
@@ -105,9 +109,9 @@
 	recent := owner.New(2 * c.MaxStaleness)
 	recent.Service = c.Service
 	limits := allot.New(c.Instance, c.Centre)
-	return &Node{
+	n := &Node{
 		config:         c,
-		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount, Allot: limits, MaxCredentialAge: c.MaxCredentialAge}, p),
+		entry:          entry.New(entry.Config{Node: self, Centre: c.Centre, ProbeCount: c.ProbeCount, CrossPrice: c.CrossPrice, Allot: limits, MaxCredentialAge: c.MaxCredentialAge}, p),
 		allot:          limits,
 		guard:          guard.New(guard.Config{Node: self, Centre: c.Centre, Service: c.Service}),
 		gossip:         gossip.New(c.Instance, c.Centre),
@@ -117,6 +121,10 @@
 		outboundProbes: bucket.New(0, 0),
 		inboundProbes:  bucket.New(0, 0),
 	}
+	if c.CrossPrice > 0 {
+		n.gossip.PreferHome()
+	}
+	return n
 }
 
 // Start starts the node and reads the published documents.
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -240,6 +240,7 @@
 		Load:       response.Load,
 		Status:     response.Status,
 		Latency:    time.Since(began),
+		Size:       response.Length,
 		BodyUnread: cr.withdrawBody(verdict),
 		Random:     rand.Uint64(),
 	}
