feat(io/conf): setting cross, the price of a megabyte between data centres

Its value is the waiting time that a megabyte is worth, or `link`: the time that it takes on the links of both instances, where these are narrow. On links of 500 Mbit/s and more, and without the key, nothing changes.

Weighed: a key of the budget rule. The price depends on the link of the instance, which rules do not know, and the published configuration of a deployment has no word for it.

--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -48,6 +48,20 @@
 // maxLinkMegabits is the largest value of the key "link", in megabits per second.
 const maxLinkMegabits = 1_000_000
 
+// The key "cross".
+const (
+	// crossByLink is the value that derives the price from the key "link".
+	crossByLink = "link"
+	// minCrossPrice and maxCrossPrice bound the waiting time that a megabyte is worth.
+	minCrossPrice = time.Millisecond
+	maxCrossPrice = time.Hour
+	// ampleLinkMegabits is the bandwidth in megabits per second from which a link is no
+	// reason to keep bytes at home.
+	ampleLinkMegabits = 500
+	// megabyteMegabits is the size of a megabyte in megabits.
+	megabyteMegabits = 8
+)
+
 // Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
@@ -107,6 +121,9 @@
 	// LinkMegabits is the bandwidth of the instance's network link in megabits per
 	// second, or 0 if unknown.
 	LinkMegabits float64
+	// CrossPrice is the waiting time that is as bad as one megabyte sent to another data
+	// centre, or 0 if bytes between data centres have no price.
+	CrossPrice time.Duration
 	// LogRate is the rate in log lines per second above which lines of successful requests
 	// are omitted.
 	LogRate int
@@ -179,6 +196,7 @@
 	d := newDecoder()
 	d.decode(text)
 	d.checkListeners()
+	d.deriveCrossPrice()
 	d.setDefaultInstance()
 	if len(d.faults) > 0 {
 		return nil, &FaultsError{File: name, Faults: d.sortedFaults()}
@@ -208,6 +226,7 @@
 		{"lag", s.MaxStaleness == o.MaxStaleness},
 		{"revoke", s.MaxCredentialAge == o.MaxCredentialAge},
 		{"link", s.LinkMegabits == o.LinkMegabits},
+		{"cross", s.CrossPrice == o.CrossPrice},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -149,6 +149,10 @@
 		{"ask too many", "ask: 17\n", `n:10:6: key "ask": must be a whole number from 0 to 16, not 17`},
 		{"link no number", "link: fast\n", `n:10:7: key "link": must be a number from 0 to 1000000, not of type string.*`},
 		{"link below 0", "link: -1\n", `n:10:7: key "link": must be a number from 0 to 1000000, not -1`},
+		{"cross no time", "cross: much\n", `n:10:8: key "cross": must be link, or a time .*, not "much"`},
+		{"cross without unit", "cross: 5\n", `n:10:8: key "cross": must be link, or a time .*, not of type int.*`},
+		{"cross too low", "cross: 1us\n", `n:10:8: key "cross": must be from 1ms to 1h0m0s, not 1µs`},
+		{"cross too high", "cross: 2h\n", `n:10:8: key "cross": must be from 1ms to 1h0m0s, not 2h0m0s`},
 		{"ask no number", "ask: some\n", `n:10:6: key "ask": must be a whole number .*`},
 		{"no lines", "lines: 0\n", `n:10:8: key "lines": must be a whole number from 1 .*`},
 		{"rules no sequence", "rules: out centre=a\n", `n:10:8: key "rules": must be a sequence .*`},
@@ -162,6 +166,28 @@
 	}
 }
 
+// The price of a megabyte follows from the time that it takes on both links, unless the links
+// are wide or not known.
+func TestPriceOfCrossing(t *testing.T) {
+	tests := []struct {
+		text string
+		want time.Duration
+	}{
+		{"", 0},
+		{"link: 10\n", 0},
+		{"cross: link\n", 0},
+		{"cross: link\nlink: 10\n", 1600 * time.Millisecond},
+		{"link: 200\ncross: link\n", 80 * time.Millisecond},
+		{"link: 1000\ncross: link\n", 0},
+		{"link: 1000\ncross: 2s\n", 2 * time.Second},
+	}
+	for _, tt := range tests {
+		s, err := Parse("n", []byte(good+tt.text))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, s.CrossPrice, qt.Equals, tt.want, qt.Commentf("%q", tt.text))
+	}
+}
+
 func TestKeysThatNeedRestart(t *testing.T) {
 	c := qt.New(t)
 	a, err := Parse("n", []byte(good))
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -26,6 +26,8 @@
 	keys     []key
 	values   map[string]ast.Node
 	faults   []Fault
+	// crossFromLink is set if the price of bytes between data centres follows from the link.
+	crossFromLink bool
 }
 
 // newDecoder returns a decoder whose settings have their default values.
@@ -50,6 +52,7 @@
 		{name: "ask", optional: true, read: d.countInto("ask", &s.ProbeCount, 0, maxAsk)},
 		{name: "lines", optional: true, read: d.countInto("lines", &s.LogRate, 1, maxLines)},
 		{name: "link", optional: true, read: d.numberInto("link", &s.LinkMegabits, 0, maxLinkMegabits)},
+		{name: "cross", optional: true, read: d.readCross},
 		{name: "rules", optional: true, read: d.readRules},
 		{name: "peers", optional: true, read: d.readPeers},
 		{name: "isolated", optional: true, read: d.choiceInto("isolated", &s.Isolated, IsolatedServe, IsolatedReject)},
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -185,6 +185,41 @@
 	}
 }
 
+// readCross reads the price of bytes between data centres: a time, or the word that derives it
+// from the link.
+func (d *decoder) readCross(n ast.Node) {
+	const key, want = "cross", "link, or a time with its unit such as 500ms"
+	text, ok := d.stringValue(n, key, want)
+	switch {
+	case !ok:
+		return
+	case text == crossByLink:
+		d.crossFromLink = true
+		return
+	}
+	price, err := time.ParseDuration(text)
+	if err != nil {
+		d.addFault(n, key, fmt.Sprintf("must be %s, not %q", want, text))
+		return
+	}
+	if price < minCrossPrice || price > maxCrossPrice {
+		d.addFault(n, key, fmt.Sprintf("must be from %s to %s, not %s", minCrossPrice, maxCrossPrice, price))
+		return
+	}
+	d.settings.CrossPrice = price
+}
+
+// deriveCrossPrice sets the price of bytes between data centres to the time that they take on
+// the links of both instances, if the settings say so and the links are narrow.
+func (d *decoder) deriveCrossPrice() {
+	link := d.settings.LinkMegabits
+	if !d.crossFromLink || link <= 0 || link >= ampleLinkMegabits {
+		return
+	}
+	const links = 2
+	d.settings.CrossPrice = time.Duration(links * megabyteMegabits / link * float64(time.Second))
+}
+
 // readRules reads lines of rules. It parses each line on its own, together with a service
 // rule, because rules without any service are invalid.
 func (d *decoder) readRules(n ast.Node) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -251,6 +251,7 @@
 		DrainTime:     s.DrainTime,
 		MaxStaleness:  s.MaxStaleness,
 		ProbeCount:    s.ProbeCount,
+		CrossPrice:    s.CrossPrice,
 		RequireListed: s.Dialect == conf.DialectPlatform,
 
 		MaxCredentialAge: s.MaxCredentialAge,
