feat(core/lint): check warns of valid rules that cannot do what they say

Operators asked for a check of a configuration before it is sent: errors, entries that can never match, limits that contradict each other, and the difference to the version in force. `check` had the first and the last. It now prints warnings for routes of a method that nodes reject, services that no route goes to, and limits that contradict each other; they do not change the exit status, since nodes accept such rules.

Weighed: routes that others hide. The order of routes, host, path and then method, leaves none without requests, but for the same pattern twice, which is a fault already.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -46,6 +46,7 @@
 	var f checkFlags
 	c := a.Command("check", "Validate settings and rules without starting anything. "+
 		"Every fault is printed as file:line:column: problem (fix). "+
+		"Rules that are valid and cannot do what they say get a warning. "+
 		"The exit status is 0 when there are no faults and 2 otherwise.\n\n"+
 		"Example: bulrushlock check --rules new.txt --against rules.txt")
 	c.Flag("settings", "The settings file to check.").PlaceHolder("FILE").StringVar(&f.settings)
@@ -151,6 +152,9 @@
 	}
 	set, err := rules.Parse(string(text))
 	r.add(path, ruleFaults(err)...)
+	if err == nil {
+		r.warn(set)
+	}
 	return set
 }
 
--- a/cmd/checkreport.go
+++ b/cmd/checkreport.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"bulrushlock/core/creds"
+	"bulrushlock/core/lint"
 	"bulrushlock/core/rules"
 )
 
@@ -41,6 +42,8 @@
 type checkedFile struct {
 	File   string  `json:"file"`
 	Faults []fault `json:"faults"`
+	// Warnings are about valid rules that cannot do what they say.
+	Warnings []fault `json:"warnings,omitempty"`
 }
 
 // checkedValue is a key whose value would change.
@@ -71,6 +74,14 @@
 	r.Files = append(r.Files, checkedFile{File: path, Faults: append([]fault{}, faults...)})
 }
 
+// warn adds the warnings about the rules in a file that has no faults, which was added last.
+func (r *checkReport) warn(s *rules.Set) {
+	last := &r.Files[len(r.Files)-1]
+	for _, w := range lint.Check(s) {
+		last.Warnings = append(last.Warnings, fault{Line: w.Line, Column: 1, Problem: w.Problem, Mend: w.Fix})
+	}
+}
+
 // checkedEdits converts a change to its output form.
 func checkedEdits(c rules.Change) []checkedEdit {
 	edits := []checkedEdit{}
@@ -100,6 +111,9 @@
 		for _, f := range file.Faults {
 			fmt.Fprintf(&b, "%s:%v\n", file.File, f)
 		}
+		for _, w := range file.Warnings {
+			fmt.Fprintf(&b, "%s:%d: warning: %s (%s)\n", file.File, w.Line, w.Problem, w.Mend)
+		}
 	}
 	writeEdits(&b, r.Change)
 	_, err := fmt.Fprint(s.out, b.String())
