--- a/io/frame/field.go
+++ b/io/frame/field.go
@@ -18,13 +18,21 @@
 	kindHost
 )
 
-// kinds are the kinds of fields by their names in lower case.
-var kinds = map[string]fieldKind{
-	"content-length":    kindLength,
-	"transfer-encoding": kindCoding,
-	"connection":        kindConnection,
-	"expect":            kindExpect,
-	"host":              kindHost,
+// kindOf returns the kind of the field with a name in lower case.
+func kindOf(name []byte) fieldKind {
+	switch string(name) {
+	case "content-length":
+		return kindLength
+	case "transfer-encoding":
+		return kindCoding
+	case "connection":
+		return kindConnection
+	case "expect":
+		return kindExpect
+	case "host":
+		return kindHost
+	}
+	return kindOther
 }
 
 // stepField scans bytes of a field, or of the empty line after the last one.
@@ -97,7 +105,7 @@
 		return 0, s.invalidField()
 	}
 	if s.nameSize <= maxName {
-		s.kind = kinds[string(s.name[:s.nameSize])]
+		s.kind = kindOf(s.name[:s.nameSize])
 	}
 	if s.inTrailer && s.kind != kindOther {
 		return 0, s.invalidField()
