test: crowds of clients without limits; settings memory and files

Clients that send heads without end, trickle or say nothing end a node of a small machine.

The settings are read and checked, and bound nothing yet.

--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -48,6 +48,14 @@
 // maxLinkMegabits is the largest value of the key "link", in megabits per second.
 const maxLinkMegabits = 1_000_000
 
+// Limits of the keys "memory", in megabytes, and "files".
+const (
+	minMemory = 16
+	maxMemory = 1 << 20
+	minFiles  = 64
+	maxFiles  = 1 << 24
+)
+
 // Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
@@ -107,6 +115,12 @@
 	// LinkMegabits is the bandwidth of the instance's network link in megabits per
 	// second, or 0 if unknown.
 	LinkMegabits float64
+	// MemoryMegabytes is the memory that the instance has for the node in megabytes, or 0 for
+	// that of the whole machine.
+	MemoryMegabytes int
+	// Files is the number of descriptors that the node may have open, or 0 for the limit of the
+	// process.
+	Files int
 	// LogRate is the rate in log lines per second above which lines of successful requests
 	// are omitted.
 	LogRate int
@@ -208,6 +222,8 @@
 		{"lag", s.MaxStaleness == o.MaxStaleness},
 		{"revoke", s.MaxCredentialAge == o.MaxCredentialAge},
 		{"link", s.LinkMegabits == o.LinkMegabits},
+		{"memory", s.MemoryMegabytes == o.MemoryMegabytes},
+		{"files", s.Files == o.Files},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -127,7 +127,7 @@
 
 func TestParsePlatform(t *testing.T) {
 	c := qt.New(t)
-	text := replace("instance", "") + "ready: 127.0.0.1:8004\ndialect: platform\nask: 3\nlines: 50\nlink: 12.5\n" +
+	text := replace("instance", "") + "ready: 127.0.0.1:8004\ndialect: platform\nask: 3\nlines: 50\nlink: 12.5\nmemory: 184\nfiles: 4100\n" +
 		"rules:\n  - \"budget look=20   # team: speed\"\n"
 	s, err := Parse("n", []byte(text))
 	c.Assert(err, qt.IsNil)
@@ -137,6 +137,8 @@
 	c.Check(s.ProbeCount, qt.Equals, 3)
 	c.Check(s.LogRate, qt.Equals, 50)
 	c.Check(s.LinkMegabits, qt.Equals, 12.5)
+	c.Check(s.MemoryMegabytes, qt.Equals, 184)
+	c.Check(s.Files, qt.Equals, 4100)
 	c.Check(s.Rules, qt.DeepEquals, []string{"budget look=20   # team: speed"})
 }
 
@@ -149,6 +151,9 @@
 		{"ask too many", "ask: 17\n", `n:10:6: key "ask": must be a whole number from 0 to 16, not 17`},
 		{"link no number", "link: fast\n", `n:10:7: key "link": must be a number from 0 to 1000000, not of type string.*`},
 		{"link below 0", "link: -1\n", `n:10:7: key "link": must be a number from 0 to 1000000, not -1`},
+		{"memory too small", "memory: 15\n", `n:10:9: key "memory": must be a whole number from 16 to 1048576, not 15`},
+		{"memory with unit", "memory: 184MB\n", `n:10:9: key "memory": must be a whole number .*`},
+		{"files too few", "files: 63\n", `n:10:8: key "files": must be a whole number from 64 to 16777216, not 63`},
 		{"ask no number", "ask: some\n", `n:10:6: key "ask": must be a whole number .*`},
 		{"no lines", "lines: 0\n", `n:10:8: key "lines": must be a whole number from 1 .*`},
 		{"rules no sequence", "rules: out centre=a\n", `n:10:8: key "rules": must be a sequence .*`},
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -50,6 +50,8 @@
 		{name: "ask", optional: true, read: d.countInto("ask", &s.ProbeCount, 0, maxAsk)},
 		{name: "lines", optional: true, read: d.countInto("lines", &s.LogRate, 1, maxLines)},
 		{name: "link", optional: true, read: d.numberInto("link", &s.LinkMegabits, 0, maxLinkMegabits)},
+		{name: "memory", optional: true, read: d.countInto("memory", &s.MemoryMegabytes, minMemory, maxMemory)},
+		{name: "files", optional: true, read: d.countInto("files", &s.Files, minFiles, maxFiles)},
 		{name: "rules", optional: true, read: d.readRules},
 		{name: "peers", optional: true, read: d.readPeers},
 		{name: "isolated", optional: true, read: d.choiceInto("isolated", &s.Isolated, IsolatedServe, IsolatedReject)},
--- a/test/flood_test.go
+++ b/test/flood_test.go
@@ -59,11 +59,19 @@
 	c       *qt.C
 	process *process
 	callers netip.AddrPort
+	// nodes, control and operators are its other listeners.
+	nodes, control, operators, ready netip.AddrPort
 }
 
 // newFloodNode starts a node beside a backend server. It gets its documents from a platform
 // that lists the backend servers of instances in addition to its own.
 func newFloodNode(t *testing.T, server http.Handler, platform func(http.Handler) http.Handler, service string, others ...fleet.Instance) *floodNode {
+	t.Helper()
+	return newLimitedFloodNode(t, server, platform, service, "", others...)
+}
+
+// newLimitedFloodNode is like newFloodNode with further lines of settings.
+func newLimitedFloodNode(t *testing.T, server http.Handler, platform func(http.Handler) http.Handler, service, lines string, others ...fleet.Instance) *floodNode {
 	t.Helper()
 	c := qt.New(t)
 	program, err := plainBinary()
@@ -78,9 +86,9 @@
 	c.Cleanup(backend.Close)
 	settings := filepath.Join(c.TempDir(), "node.yaml")
 	content := fmt.Sprintf("instance: ledger-1\ncentre: north\nservice: %s\ncallers: %v\nnodes: %v\ncontrol: %v\noperators: %v\nserver: %v\nplatform: %v\ndrain: 0s\n",
-		service, a[0], a[1], a[2], a[3], backend.Listener.Addr(), published.Listener.Addr())
+		service, a[0], a[1], a[2], a[3], backend.Listener.Addr(), published.Listener.Addr()) + lines
 	c.Assert(os.WriteFile(settings, []byte(content), 0o600), qt.IsNil)
-	n := &floodNode{c: c, process: startProgram(c, program, "node", "--settings", settings), callers: a[0]}
+	n := &floodNode{c: c, process: startProgram(c, program, "node", "--settings", settings), callers: a[0], nodes: a[1], control: a[2], operators: a[3]}
 	return n
 }
 
