--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -90,29 +90,6 @@
 	}
 }
 
-// limitedConn is a connection that fails once more than remaining bytes are read. Gob
-// reads a message of any announced size up to 1 GB into memory.
-type limitedConn struct {
-	net.Conn
-	remaining int
-}
-
-// SizeError reports a peer that sent more than a call may have.
-type SizeError struct{}
-
-// Error returns a fixed message.
-func (*SizeError) Error() string { return "the peer sent more bytes than a call may have" }
-
-// Read reads from the connection. It fails with a *SizeError beyond the limit.
-func (c *limitedConn) Read(b []byte) (int, error) {
-	if c.remaining <= 0 {
-		return 0, &SizeError{}
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.remaining)])
-	c.remaining -= n
-	return n, err
-}
-
 // call makes one RPC on a connection of its own. It fails with a *CallError.
 func (ep *Endpoint) call(ctx context.Context, peer netip.AddrPort, method string, request, response any) error {
 	timeout, size := callTimeout, maxResponseSize
