--- a/io/frame/field.go
+++ b/io/frame/field.go
@@ -44,6 +44,9 @@
 			s.state = stateEmptyFeed
 			return 1, nil
 		}
+		if n := s.skipFields(b); n > 0 {
+			return n, nil
+		}
 		return 0, s.beginField()
 	case stateName:
 		return s.stepName(b)
@@ -68,6 +71,39 @@
 	return 1, nil
 }
 
+// skipFields scans whole fields that are valid and do not matter for framing, and returns their size.
+// It is the short way for what stepField would do in several steps.
+func (s *Scanner) skipFields(b []byte) (total int) {
+	for s.fields < s.limits.Fields {
+		field := b[total:]
+		name := span(field, isToken)
+		if name == 0 || name == len(field) || field[name] != ':' || mayMatter(name) && s.kindOfName(field[:name]) != kindOther {
+			break
+		}
+		end := name + 1 + span(field[name+1:], isText)
+		if len(field) < end+2 || field[end] != '\r' || field[end+1] != '\n' {
+			break
+		}
+		s.fields++
+		total += end + 2
+	}
+	return total
+}
+
+// mayMatter reports whether a field that matters for framing has a name of the given size.
+func mayMatter(size int) bool {
+	const sizes = 1<<len("host") | 1<<len("expect") | 1<<len("connection") | 1<<len("content-length") | 1<<len("transfer-encoding")
+	return size <= maxName && sizes>>size&1 == 1
+}
+
+// kindOfName returns the kind of the field with a name in any case, of at most maxName bytes.
+func (s *Scanner) kindOfName(name []byte) fieldKind {
+	for i, c := range name {
+		s.name[i] = lower(c)
+	}
+	return kindOf(s.name[:len(name)])
+}
+
 // invalidField returns the error of a field that isn't valid.
 func (s *Scanner) invalidField() *Error {
 	if s.inTrailer {
--- a/io/frame/state.go
+++ b/io/frame/state.go
@@ -113,7 +113,7 @@
 		}
 		s.state = stateVersion
 	case stateVersion:
-		return s.stepVersion(c)
+		return s.stepVersion(b)
 	case stateLineReturn:
 		if c != '\r' {
 			return 0, invalid(ReasonLine)
@@ -145,8 +145,13 @@
 	return 1, nil
 }
 
-// stepVersion scans one byte of the version.
-func (s *Scanner) stepVersion(c byte) (int, *Error) {
+// stepVersion scans bytes of the version.
+func (s *Scanner) stepVersion(b []byte) (int, *Error) {
+	if s.position == 0 && len(b) > len(versionStart) && string(b[:len(versionStart)]) == versionStart {
+		s.position = len(versionStart)
+		return len(versionStart), nil
+	}
+	c := b[0]
 	if s.position == len(versionStart) {
 		if !isDigit(c) {
 			return 0, invalid(ReasonLine)
