fix(io/intake): clients without limits get a bounded part of a node

Cause: net/http parses a head as it arrives, each connection on its own. Nothing adds up what all of them hold. It also drops a Content-Length beside a Transfer-Encoding before a handler sees it.

Fix: io/intake reads below the server of net/http on every listener. A head reaches the server when it is complete and valid by io/frame; otherwise it is answered with its status and closed, and nothing of it is passed on. The heap is kept within half of the memory (GOMEMLIMIT).

TestRequestWithTwoFramingsRunsNothing failed before (no 400, the connection stayed open).

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings.MemoryMegabytes)
 	decisionLog := declog.New(declog.Options{Out: s.out, Rate: settings.LogRate})
 	defer decisionLog.Close()
 	logger := slog.New(slog.NewJSONHandler(decisionLog, nil))
@@ -54,7 +55,19 @@
 	return nil
 }
 
+// limitMemory makes the garbage collector keep the heap within a part of the memory of the instance,
+// which is given in megabytes. The variable GOMEMLIMIT, if set, goes first.
+func limitMemory(megabytes int) {
+	if megabytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(megabytes) << megabyteBits / heapShare)
+	}
+}
+
 const (
+	// megabyteBits converts megabytes to bytes by a shift.
+	megabyteBits = 20
+	// heapShare is the part of the memory from which on garbage is collected more often.
+	heapShare = 2
 	// gcPercent is the growth of the heap in percent that starts a garbage collection. A node
 	// keeps little alive, and its instance has little memory beside the backend server.
 	gcPercent = 50
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"bulrushlock/io/egress"
 	"bulrushlock/io/front"
 	"bulrushlock/io/gate"
+	"bulrushlock/io/intake"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 	"bulrushlock/io/pool"
@@ -96,6 +97,7 @@
 	background  *runner.Runner
 	meter       *meter.Meter
 	remote      *remote.Exchanger
+	intake      *intake.Intake
 	control     net.Listener
 	servers     []*http.Server
 	// requestListeners are the listeners for requests of callers and of other nodes.
@@ -263,6 +265,9 @@
 		Execute:     d.background.Do,
 	})
 	d.datagrams = dgram.New(d.loop, dgram.Options{Node: self, Conn: l.datagrams, Control: s.Control, Logger: d.logger})
+	// The listeners themselves are needed to stop them.
+	d.requestListeners = []net.Listener{l.callers, l.nodes}
+	d.boundIntake(&l, scope)
 	l.control = m.Listener(l.control)
 	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(sock.NewDialer(nodeDialTimeout)))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
@@ -296,7 +301,6 @@
 	})
 	d.background.Start(d.loop, w)
 	go w.Serve(l.control)
-	d.requestListeners = []net.Listener{l.callers, l.nodes}
 	d.serveHTTP(l.callers, f)
 	d.serveHTTP(l.nodes, g)
 	d.serveHTTP(l.operators, admin.New(d.loop, metrics))
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,6 +117,33 @@
 	}
 }
 
+// TestRequestWithTwoFramingsRunsNothing sends a request whose body is another one to a parser that
+// goes by the transfer coding.
+func TestRequestWithTwoFramingsRunsNothing(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int32
+	callers := startNodes(c, 1, func(string) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/health" {
+				ran.Add(1)
+			}
+		})
+	})
+	for _, fields := range []string{"Content-Length: 200\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 0", "Content-Length: 3\r\nContent-Length: 5"} {
+		conn, err := net.Dial("tcp", callers[0].String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		_, err = io.WriteString(conn, "POST /claims HTTP/1.1\r\nHost: a\r\n"+fields+"\r\n\r\n0\r\n\r\nPOST /claims HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		text, err := io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		c.Check(strings.HasPrefix(string(text), "HTTP/1.1 400 "), qt.IsTrue, qt.Commentf("%s", text))
+		c.Check(strings.Count(string(text), "HTTP/1.1"), qt.Equals, 1)
+	}
+	c.Check(ran.Load(), qt.Equals, int32(0))
+}
+
 // BenchmarkPath compares a direct request with one through the node beside the caller.
 // That node sends its requests to its own backend server.
 func BenchmarkPath(b *testing.B) {
--- a/io/daemon/gauge.go
+++ b/io/daemon/gauge.go
@@ -25,6 +25,8 @@
 	platformReader tally.Gauge
 	linesLost      tally.Gauge
 	linesSkipped   tally.Gauge
+	clientBytes    tally.Gauge
+	clients        tally.Gauge
 }
 
 // newGauges creates the gauges in a scope.
@@ -45,6 +47,8 @@
 		platformReader: s.Gauge("platform_reader"),
 		linesLost:      s.Gauge("log_lost"),
 		linesSkipped:   s.Gauge("log_left"),
+		clientBytes:    s.Gauge("clients_held"),
+		clients:        s.Gauge("clients_open"),
 	}
 }
 
@@ -86,6 +90,9 @@
 		var s node.Status
 		d.loop.View(func(n *node.Node) { s = n.Status(time.Now()) })
 		g.update(s)
+		held, open := d.intake.Usage()
+		g.clientBytes.Update(float64(held))
+		g.clients.Update(float64(open))
 		if counter, ok := d.decisionLog.(interface{ Dropped() (lost, left uint64) }); ok {
 			lost, left := counter.Dropped()
 			g.linesLost.Update(float64(lost))
--- a/io/daemon/gauge_test.go
+++ b/io/daemon/gauge_test.go
@@ -44,5 +44,7 @@
 		"platform_reader": 1,
 		"log_lost":        0,
 		"log_left":        0,
+		"clients_held":    0,
+		"clients_open":    0,
 	})
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -21,10 +22,14 @@
 	"bulrushlock/core/event"
 	"bulrushlock/core/fleet"
 	"bulrushlock/io/egress"
+	"bulrushlock/io/frame"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/proto"
 )
 
+// BufferLimit is the size in bytes up to which the body of a request is buffered.
+const BufferLimit = maxBufferedBody
+
 // OutcomeQuerier queries a guard for the outcome of an attempt.
 type OutcomeQuerier interface {
 	// QueryOutcome returns event.Broken if the guard is unreachable.
@@ -94,7 +99,7 @@
 	cr := newCallerRequest(f, w, r)
 	defer cr.close()
 	if err := cr.readBody(&e); err != nil {
-		p := problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "body", Detail: err.Error()}
+		p := problem{Status: bodyStatus(err), Outcome: effect.NotRun.String(), Reason: "body", Detail: err.Error()}
 		writeProblem(w, p)
 		return
 	}
@@ -142,6 +147,16 @@
 	return e, nil
 }
 
+// bodyStatus returns the status for a body that could not be read. The error of a body without room
+// states it.
+func bodyStatus(err error) int {
+	var invalid *frame.Error
+	if errors.As(err, &invalid) {
+		return invalid.Status
+	}
+	return http.StatusBadRequest
+}
+
 // hasDotSegments reports whether path has a "." or ".." segment. A backend
 // server may resolve such a path to one that matches another rule.
 func hasDotSegments(path string) bool {
