--- a/cmd/node.go
+++ b/cmd/node.go
@@ -59,15 +59,15 @@
 // which is given in megabytes. The variable GOMEMLIMIT, if set, goes first.
 func limitMemory(megabytes int) {
 	if megabytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(megabytes) << megabyteBits / heapShare)
+		debug.SetMemoryLimit(int64(megabytes) << megabyteBits / 100 * heapPercent)
 	}
 }
 
 const (
 	// megabyteBits converts megabytes to bytes by a shift.
 	megabyteBits = 20
-	// heapShare is the part of the memory from which on garbage is collected more often.
-	heapShare = 2
+	// heapPercent is the part of the memory from which on garbage is collected more often.
+	heapPercent = 40
 	// gcPercent is the growth of the heap in percent that starts a garbage collection. A node
 	// keeps little alive, and its instance has little memory beside the backend server.
 	gcPercent = 50
--- a/io/daemon/intake.go
+++ b/io/daemon/intake.go
@@ -17,7 +17,7 @@
 	megabyte = 1 << 20
 	// intakeShare is the part of the memory that is held at most for requests which haven't been
 	// accepted, and connectionShare the part that incoming connections take at most.
-	intakeShare     = 8
+	intakeShare     = 12
 	connectionShare = 3
 	// The listeners take these parts of all descriptors. The rest is for outgoing connections and
 	// files.
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -22,6 +22,8 @@
 	// while the buffer of the body grows.
 	bodyStep     = 8 << 10
 	growthFactor = 2
+	// handlerCost is the memory in bytes of a handler that waits for the rest of a body.
+	handlerCost = 8 << 10
 )
 
 // conn is a connection whose requests are read by their framing. Its methods may be called
@@ -272,12 +274,14 @@
 	if n := len(c.ahead); n > freeBytes {
 		total += int64(n)
 	}
+	body := int64(0)
 	if c.body > freeBytes {
-		total += (c.body + bodyStep - 1) / bodyStep * bodyStep
-		if c.buffering {
-			total += c.body
-		}
+		body = (c.body + bodyStep - 1) / bodyStep * bodyStep
+	}
+	if c.buffering {
+		body = growthFactor*body + handlerCost
 	}
+	total += body
 	if total == c.held.Load() {
 		return nil
 	}
