fix(io/daemon): a crowded listener keeps no connection for a next request

Clients that complete one request and keep their connection filled the callers' listener; nobody else was served until they had been idle for 15 seconds, within which a kept connection must not be closed. And each request that is handled takes an outgoing connection, so that half of the descriptors for callers alone used up all of them.

From three quarters of its connections on, responses of a listener close their connection; with a body that is still arriving the time of the response decides. The callers' listener takes three eighths of the descriptors, that for nodes half as many.

Weighed: closing kept connections earlier cuts off requests that come at the same moment.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -314,7 +314,7 @@
 // serveHTTP starts an HTTP server for h on l.
 func (d *Daemon) serveHTTP(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler:           &recoverHandler{handler: &drainHandler{handler: h, leaving: &d.leaving}, report: d.loop.ReportPanic},
+		Handler:           &recoverHandler{handler: &drainHandler{handler: h, leaving: &d.leaving, crowded: crowdedOf(l)}, report: d.loop.ReportPanic},
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderSize,
 		IdleTimeout:       idleTimeout,
@@ -330,6 +330,14 @@
 	}()
 }
 
+// crowdedOf returns a function that reports whether l has few connections left.
+func crowdedOf(l net.Listener) func() bool {
+	if b, ok := l.(*intake.Listener); ok {
+		return b.Crowded
+	}
+	return func() bool { return false }
+}
+
 // serverTransport returns the transport to the backend server.
 func (d *Daemon) serverTransport() *pool.Transport {
 	matches := newMatcher(d.adapter.Dialect)
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -29,30 +29,36 @@
 	h.handler.ServeHTTP(w, r)
 }
 
-// drainHandler serves requests. While the node drains, each response closes its
-// connection. Idle connections stay open, because closing one could cut off a request
+// drainHandler serves requests. While the node drains or the listener is crowded, each response
+// closes its connection. Idle connections stay open, because closing one could cut off a request
 // that arrives at the same time.
 type drainHandler struct {
 	handler http.Handler
 	leaving *atomic.Bool
+	crowded func() bool
 }
 
 // ServeHTTP serves one request.
 func (h *drainHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.leaving.Load() {
-		w = closingWriter{ResponseWriter: w}
+	// A body may take long to arrive, so that its response decides again.
+	if r.ContentLength != 0 || h.closes() {
+		w = closingWriter{ResponseWriter: w, closes: h.closes}
 	}
 	h.handler.ServeHTTP(w, r)
 }
 
+// closes reports whether responses close their connections now.
+func (h *drainHandler) closes() bool { return h.leaving.Load() || h.crowded() }
+
 // closingWriter closes the connection after the response.
 type closingWriter struct {
 	http.ResponseWriter
+	closes func() bool
 }
 
 // WriteHeader adds "Connection: close", except to informational (1xx) responses.
 func (w closingWriter) WriteHeader(status int) {
-	if status >= http.StatusOK {
+	if status >= http.StatusOK && w.closes() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
--- a/io/daemon/drain_test.go
+++ b/io/daemon/drain_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -42,3 +44,37 @@
 		})
 	}
 }
+
+func TestResponsesOfCrowdedListenerCloseTheirConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name, body             string
+		leaving, before, after bool
+		closes                 bool
+	}{
+		{"calm", "", false, false, false, false},
+		{"leaving", "", true, false, false, true},
+		{"crowded", "", false, true, true, true},
+		{"crowded while a body arrives", "x", false, false, true, true},
+		{"crowded before a body arrives", "x", false, true, false, false},
+		{"calm with a body", "x", false, false, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			crowded := tt.before
+			var leaving atomic.Bool
+			leaving.Store(tt.leaving)
+			h := &drainHandler{
+				handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					crowded = tt.after
+					w.WriteHeader(http.StatusEarlyHints)
+					w.WriteHeader(http.StatusOK)
+				}),
+				leaving: &leaving,
+				crowded: func() bool { return crowded },
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tt.body)))
+			c.Check(w.Header().Get("Connection") == "close", qt.Equals, tt.closes)
+		})
+	}
+}
--- a/io/daemon/intake.go
+++ b/io/daemon/intake.go
@@ -19,12 +19,13 @@
 	// accepted, and connectionShare the part that incoming connections take at most.
 	intakeShare     = 12
 	connectionShare = 3
-	// The listeners take these parts of all descriptors. The rest is for outgoing connections and
-	// files.
-	callersShare   = 2
-	nodesShare     = 4
-	controlShare   = 16
-	operatorsShare = 64
+	// The listeners take these parts of all descriptors, of shares in all. The rest is for files and
+	// for outgoing connections, of which a request that is handled takes one.
+	shares         = 64
+	callersShare   = 24
+	nodesShare     = 12
+	controlShare   = 4
+	operatorsShare = 1
 	// minConnections is the least number of connections that a listener takes.
 	minConnections = 4
 	// defaultMemory is the memory in megabytes, and defaultFiles the number of descriptors, where
@@ -85,7 +86,7 @@
 		}
 		*b.listener = d.intake.Listen(*b.listener, intake.ListenerOptions{
 			Name:        b.name,
-			Connections: int(max(room/b.share, minConnections)),
+			Connections: int(max(room*b.share/shares, minConnections)),
 			Buffer:      b.buffer,
 			Raw:         b.listener == &l.control,
 		})
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -209,6 +209,7 @@
 	c.closed = true
 	c.enter(shed.Accepted, 0)
 	delete(c.listener.connections, c)
+	c.listener.open.Add(-1)
 	k.open--
 	k.freed.Broadcast()
 }
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -324,6 +324,28 @@
 	c.Check(<-served, qt.Equals, "[200 GET /last 1 ]")
 }
 
+func TestListenerIsCrowdedBeforeItIsFull(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	k := intake.New(intake.Options{Memory: 2 << 20, Limits: frame.DefaultLimits(), Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+	bounded := k.Listen(l, intake.ListenerOptions{Connections: 4})
+	defer func() { _ = bounded.Close() }()
+	var accepted []net.Conn
+	for i := range 4 {
+		c.Check(bounded.Crowded(), qt.IsFalse, qt.Commentf("%d connections", i))
+		client, err := net.Dial("tcp", l.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = client.Close() }()
+		conn, err := bounded.Accept()
+		c.Assert(err, qt.IsNil)
+		accepted = append(accepted, conn)
+	}
+	c.Check(bounded.Crowded(), qt.IsTrue)
+	c.Assert(accepted[0].Close(), qt.IsNil)
+	c.Check(bounded.Crowded(), qt.IsFalse)
+}
+
 // slowHead is a head that isn't complete.
 var slowHead = "GET / HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("x", 30_000)
 
--- a/io/intake/listener.go
+++ b/io/intake/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"bulrushlock/core/shed"
@@ -29,6 +30,8 @@
 	// Intake guards both.
 	connections map[*conn]struct{}
 	closed      bool
+	// open is the number of connections.
+	open atomic.Int64
 }
 
 var _ net.Listener = (*Listener)(nil)
@@ -42,6 +45,15 @@
 	return &Listener{Listener: l, intake: k, options: o, connections: make(map[*conn]struct{})}
 }
 
+// crowdedPercent is the part of the connections from which on a listener is crowded.
+const crowdedPercent = 75
+
+// Crowded reports whether few connections are left, so that none should be kept for a next request.
+// The clients of kept connections would keep others out, and those may not be closed early.
+func (l *Listener) Crowded() bool {
+	return l.open.Load()*100 > int64(l.options.Connections)*crowdedPercent
+}
+
 // Accept accepts the next connection. If there are too many, it closes one that may be closed, or
 // waits until there is one less.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -76,6 +88,7 @@
 	for !l.closed {
 		if len(l.connections) < l.options.Connections {
 			l.connections[c] = struct{}{}
+			l.open.Add(1)
 			k.open++
 			return c
 		}
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -177,6 +177,37 @@
 	n.meet(n.callers, crowd{start: "POST /lines/a HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65_000), slow: "x", held: true})
 }
 
+// The bodies are too large to be buffered, and are forwarded while they arrive.
+func TestCrowdOfSlowLargeBodies(t *testing.T) {
+	n := newCrowdNode(t)
+	n.meet(n.callers, crowd{start: "POST /lines/a HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 100_000), slow: "x", held: true})
+}
+
+func TestCrowdOfSlowLargeChunks(t *testing.T) {
+	n := newCrowdNode(t)
+	n.meet(n.callers, crowd{start: crowdChunked + "fffffff\r\n" + strings.Repeat("x", 100_000), slow: "x", held: true})
+}
+
+func TestCrowdOfDistinctFields(t *testing.T) {
+	n := newCrowdNode(t)
+	var fields strings.Builder
+	for i := range 2500 {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	n.meet(n.callers, crowd{start: "POST /lines/a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n" + fields.String() + "\r\n", held: true})
+}
+
+// The connections have had a response, and are kept for the next request.
+func TestCrowdOfKeptConnections(t *testing.T) {
+	n := newCrowdNode(t)
+	n.meet(n.callers, crowd{start: crowdHead + "\r\n", held: true})
+}
+
+func TestCrowdOfPipelinedRequests(t *testing.T) {
+	n := newCrowdNode(t)
+	n.meet(n.callers, crowd{start: strings.Repeat(crowdHead+"\r\n", 100), held: true})
+}
+
 func TestCrowdOfEmptyLines(t *testing.T) {
 	n := newCrowdNode(t)
 	n.meet(n.callers, crowd{repeated: "\r\n"})
