fix(io/daemon): clients whose bodies do not come free their connections

What callers would see: found on review, before any landing. Some hundred clients that announce a body and do not send it kept a listener full: a handler that responds without reading the body leaves it to the server of net/http, which waits for up to 256 KB of it before it sends the response, and again after it, without a limit. One such client also held up the stop of a node for 30 s. Memory that was released was counted twice when a connection was chosen twice to make room; an empty line before a request on a kept connection got 400.

Cause: nothing limited that wait; connections that were closed to make room could be chosen again; a request that had ended counted as the start of the next one.

A request that is incomplete when the node stops has a second.

TestResponsesOfCrowdedListenerCloseTheirConnections: its handler read no body, which now closes the connection; it reads the body, and a case without reading is added.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -404,6 +404,10 @@
 // Wait waits until the node has stopped.
 func (d *Daemon) Wait() { <-d.ended }
 
+// maxRequestEnd is the time within which a request must be complete that has begun to arrive when the
+// node stops.
+const maxRequestEnd = time.Second
+
 // stopConnections takes no new connections for requests and waits until those that have just
 // been opened are accepted, so that their requests get responses.
 func (d *Daemon) stopConnections() {
@@ -440,6 +444,7 @@
 	defer close(d.ended)
 	<-d.drained
 	d.stopConnections()
+	d.intake.Hurry(maxRequestEnd)
 	for _, s := range d.servers {
 		if err := s.Shutdown(context.Background()); err != nil {
 			d.logger.Error("shutdown", "error", err)
--- a/io/daemon/drain_test.go
+++ b/io/daemon/drain_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,14 +50,15 @@
 	for _, tt := range []struct {
 		name, body             string
 		leaving, before, after bool
-		closes                 bool
+		unread, closes         bool
 	}{
-		{"calm", "", false, false, false, false},
-		{"leaving", "", true, false, false, true},
-		{"crowded", "", false, true, true, true},
-		{"crowded while a body arrives", "x", false, false, true, true},
-		{"crowded before a body arrives", "x", false, true, false, false},
-		{"calm with a body", "x", false, false, false, false},
+		{"calm", "", false, false, false, false, false},
+		{"leaving", "", true, false, false, false, true},
+		{"crowded", "", false, true, true, false, true},
+		{"crowded while a body arrives", "x", false, false, true, false, true},
+		{"crowded before a body arrives", "x", false, true, false, false, false},
+		{"calm with a body", "x", false, false, false, false, false},
+		{"calm with a body that is not read", "x", false, false, false, true, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -64,8 +66,12 @@
 			var leaving atomic.Bool
 			leaving.Store(tt.leaving)
 			h := &drainHandler{
-				handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					crowded = tt.after
+					if !tt.unread {
+						_, err := io.Copy(io.Discard, r.Body)
+						c.Check(err, qt.IsNil)
+					}
 					w.WriteHeader(http.StatusEarlyHints)
 					w.WriteHeader(http.StatusOK)
 				}),
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -163,7 +163,7 @@
 		if n == 0 {
 			return 0, err
 		}
-		fresh := c.scanner.Blank()
+		fresh := !c.scanner.Begun()
 		taken, _, err := c.scanner.Scan(p[filled : filled+n])
 		if err != nil {
 			return 0, c.refuse(err)
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -81,9 +81,10 @@
 	holders map[*conn]struct{}
 	// doomed is the part of held that belongs to connections which were closed to make room. Their
 	// servers still hold it for a moment.
-	doomed  int64
-	open    int
-	reasons map[event]*tracker
+	doomed    int64
+	open      int
+	listeners []*Listener
+	reasons   map[event]*tracker
 }
 
 // event is a refusal or a closed connection, by its reason.
@@ -119,6 +120,21 @@
 	return k.held, k.open
 }
 
+// Hurry limits the time for the rest of requests that are not complete. It is called when the process
+// stops, which such a request would hold up.
+func (k *Intake) Hurry(limit time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	deadline := time.Now().Add(limit)
+	for _, l := range k.listeners {
+		for c := range l.connections {
+			if shed.State(c.state.Load()) == shed.Waiting {
+				_ = c.SetReadDeadline(deadline)
+			}
+		}
+	}
+}
+
 // errClosed is returned to a connection that was closed in order to make room.
 var errClosed = errors.New("connection closed to make room")
 
@@ -181,11 +197,12 @@
 	}
 }
 
-// holdings returns what connections hold. The mutex must be held.
+// holdings returns what connections hold. Those that were closed to make room are left out: what they
+// hold is released soon. The mutex must be held.
 func (k *Intake) holdings(connections map[*conn]struct{}) func(func(*conn, shed.Holding) bool) {
 	return func(yield func(*conn, shed.Holding) bool) {
 		for c := range connections {
-			if !yield(c, c.holding()) {
+			if !c.closed && !yield(c, c.holding()) {
 				return
 			}
 		}
--- a/io/intake/listener.go
+++ b/io/intake/listener.go
@@ -42,7 +42,11 @@
 
 // Listen returns a Listener that accepts from l, whose connections must be TCP connections.
 func (k *Intake) Listen(l net.Listener, o ListenerOptions) *Listener {
-	return &Listener{Listener: l, intake: k, options: o, connections: make(map[*conn]struct{})}
+	b := &Listener{Listener: l, intake: k, options: o, connections: make(map[*conn]struct{})}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.listeners = append(k.listeners, b)
+	return b
 }
 
 // crowdedPercent is the part of the connections from which on a listener is crowded.
