--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -62,6 +62,14 @@
 	megabyteMegabits = 8
 )
 
+// Limits of the keys "memory", in megabytes, and "files".
+const (
+	minMemory = 16
+	maxMemory = 1 << 20
+	minFiles  = 64
+	maxFiles  = 1 << 24
+)
+
 // Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
@@ -124,6 +132,12 @@
 	// CrossPrice is the waiting time that is as bad as one megabyte sent to another data
 	// centre, or 0 if bytes between data centres have no price.
 	CrossPrice time.Duration
+	// MemoryMegabytes is the memory that the instance has for the node in megabytes, or 0 for
+	// that of the whole machine.
+	MemoryMegabytes int
+	// Files is the number of descriptors that the node may have open, or 0 for the limit of the
+	// process.
+	Files int
 	// LogRate is the rate in log lines per second above which lines of successful requests
 	// are omitted.
 	LogRate int
@@ -227,6 +241,8 @@
 		{"revoke", s.MaxCredentialAge == o.MaxCredentialAge},
 		{"link", s.LinkMegabits == o.LinkMegabits},
 		{"cross", s.CrossPrice == o.CrossPrice},
+		{"memory", s.MemoryMegabytes == o.MemoryMegabytes},
+		{"files", s.Files == o.Files},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"bulrushlock/io/egress"
 	"bulrushlock/io/front"
 	"bulrushlock/io/gate"
+	"bulrushlock/io/intake"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 	"bulrushlock/io/pool"
@@ -96,6 +97,7 @@
 	background  *runner.Runner
 	meter       *meter.Meter
 	remote      *remote.Exchanger
+	intake      *intake.Intake
 	control     net.Listener
 	servers     []*http.Server
 	// requestListeners are the listeners for requests of callers and of other nodes.
@@ -265,6 +267,9 @@
 		Execute:     d.background.Do,
 	})
 	d.datagrams = dgram.New(d.loop, dgram.Options{Node: self, Conn: l.datagrams, Control: s.Control, Logger: d.logger})
+	// The listeners themselves are needed to stop them.
+	d.requestListeners = []net.Listener{l.callers, l.nodes}
+	d.boundIntake(&l, scope)
 	l.control = m.Listener(l.control)
 	w := wire.New(d.loop, self, d.settings.Control, m.Dialer(sock.NewDialer(nodeDialTimeout)))
 	d.serve(l, w, self, scope, reporter.HTTPHandler())
@@ -298,7 +303,6 @@
 	})
 	d.background.Start(d.loop, w)
 	go w.Serve(l.control)
-	d.requestListeners = []net.Listener{l.callers, l.nodes}
 	d.serveHTTP(l.callers, f)
 	d.serveHTTP(l.nodes, g)
 	d.serveHTTP(l.operators, admin.New(d.loop, metrics))
@@ -312,7 +316,7 @@
 // serveHTTP starts an HTTP server for h on l.
 func (d *Daemon) serveHTTP(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler:           &recoverHandler{handler: &drainHandler{handler: h, leaving: &d.leaving}, report: d.loop.ReportPanic},
+		Handler:           &recoverHandler{handler: &drainHandler{handler: h, leaving: &d.leaving, crowded: crowdedOf(l)}, report: d.loop.ReportPanic},
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderSize,
 		IdleTimeout:       idleTimeout,
@@ -328,6 +332,14 @@
 	}()
 }
 
+// crowdedOf returns a function that reports whether l has few connections left.
+func crowdedOf(l net.Listener) func() bool {
+	if b, ok := l.(*intake.Listener); ok {
+		return b.Crowded
+	}
+	return func() bool { return false }
+}
+
 // serverTransport returns the transport to the backend server.
 func (d *Daemon) serverTransport() *pool.Transport {
 	matches := newMatcher(d.adapter.Dialect)
@@ -400,6 +412,10 @@
 // Wait waits until the node has stopped.
 func (d *Daemon) Wait() { <-d.ended }
 
+// maxRequestEnd is the time within which a request must be complete that has begun to arrive when the
+// node stops.
+const maxRequestEnd = time.Second
+
 // stopConnections takes no new connections for requests and waits until those that have just
 // been opened are accepted, so that their requests get responses.
 func (d *Daemon) stopConnections() {
@@ -436,6 +452,7 @@
 	defer close(d.ended)
 	<-d.drained
 	d.stopConnections()
+	d.intake.Hurry(maxRequestEnd)
 	for _, s := range d.servers {
 		if err := s.Shutdown(context.Background()); err != nil {
 			d.logger.Error("shutdown", "error", err)
--- a/io/daemon/drain_test.go
+++ b/io/daemon/drain_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -42,3 +45,42 @@
 		})
 	}
 }
+
+func TestResponsesOfCrowdedListenerCloseTheirConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name, body             string
+		leaving, before, after bool
+		unread, closes         bool
+	}{
+		{"calm", "", false, false, false, false, false},
+		{"leaving", "", true, false, false, false, true},
+		{"crowded", "", false, true, true, false, true},
+		{"crowded while a body arrives", "x", false, false, true, false, true},
+		{"crowded before a body arrives", "x", false, true, false, false, false},
+		{"calm with a body", "x", false, false, false, false, false},
+		{"calm with a body that is not read", "x", false, false, false, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			crowded := tt.before
+			var leaving atomic.Bool
+			leaving.Store(tt.leaving)
+			h := &drainHandler{
+				handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					crowded = tt.after
+					if !tt.unread {
+						_, err := io.Copy(io.Discard, r.Body)
+						c.Check(err, qt.IsNil)
+					}
+					w.WriteHeader(http.StatusEarlyHints)
+					w.WriteHeader(http.StatusOK)
+				}),
+				leaving: &leaving,
+				crowded: func() bool { return crowded },
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tt.body)))
+			c.Check(w.Header().Get("Connection") == "close", qt.Equals, tt.closes)
+		})
+	}
+}
