fix(core/allot): a limit with a small burst is lent in full

A part's bucket held the part's share of the burst and up to two tokens divided by the parts: less than one token for a large rate with a small burst. And a node asked six parts at most, so that few nodes could not use a limit of many parts.

A bucket now holds one token and 0.1 s of its rate at least, one token where its owner is uncertain, and a node asks so many parts that each is asked by four nodes on average. An instance that is alone in its data centre counts as in touch only if it hears of any other: TestSumStaysBelowBound found one that lent in full while it was cut off.

--- a/core/allot/allot.go
+++ b/core/allot/allot.go
@@ -57,6 +57,8 @@
 	// maxPartSpare that of one bucket. It lets a small share hold whole tokens.
 	spareBurst   = 6.0
 	maxPartSpare = 2.0
+	// minBurstTime is the time whose tokens a bucket can hold at least, besides one token.
+	minBurstTime = 100 * time.Millisecond
 	// heardMemory is the time for which a node believes another one that knows more data centres,
 	// and maxHeard the largest number that it believes.
 	heardMemory = 10 * time.Second
@@ -318,7 +320,9 @@
 // share returns the rate and the size of the bucket of one part of c.
 func (c *customer) share() (rate, size float64) {
 	count := float64(c.count)
-	return c.limit.Rate / count, float64(c.limit.Burst)/count + min(maxPartSpare, spareBurst/count)
+	rate = c.limit.Rate / count
+	size = float64(c.limit.Burst)/count + min(maxPartSpare, spareBurst/count)
+	return rate, max(size, 1+rate*minBurstTime.Seconds())
 }
 
 // partKey returns the key by which the owner of a part is found.
@@ -346,8 +350,12 @@
 	return name
 }
 
-// maxAsked is the maximum number of parts that a node asks for tokens.
-const maxAsked = 6
+const (
+	// minAsked is the number of parts that a node asks for tokens. Where there are few nodes, it asks
+	// so many that minAskers ask each part on average.
+	minAsked  = 6
+	minAskers = 4
+)
 
 // askOrder returns the parts that this node asks: one of its own data centre, which spreads the
 // nodes over the parts, then the same one of each other data centre, then others.
@@ -368,5 +376,6 @@
 		}
 	}
 	order := slices.Concat(own, same, rest)
-	return order[:min(len(order), maxAsked)]
+	asked := max(minAsked, minAskers*len(order)/max(len(a.instances), 1))
+	return order[:min(len(order), asked)]
 }
--- a/core/allot/bound_test.go
+++ b/core/allot/bound_test.go
@@ -113,7 +113,7 @@
 	kinds := []string{"kill", "freeze", "isolate", "deaf", "mute", "cut", "blind", "platform", "loss", "restart", "cutAndRestart"}
 	for _, kind := range kinds {
 		for _, l := range []allot.Limit{{Customer: "acme", Rate: 150, Burst: 0}, {Customer: "acme", Rate: 150, Burst: 150}, {Customer: "acme", Rate: 3, Burst: 3}} {
-			for seed := range uint64(3) {
+			for seed := range uint64(6) {
 				f := newSimFleet(12, 1+int(seed%3), []allot.Limit{l}, seed)
 				f.advance(5 * time.Second)
 				f.press(l, f.now.Add(40*time.Second))
--- a/core/allot/fleet_test.go
+++ b/core/allot/fleet_test.go
@@ -198,14 +198,16 @@
 // isFrozen reports whether the processes of n are stopped.
 func (n *simNode) isFrozen(now time.Time) bool { return now.Before(n.frozen) }
 
-// startNode starts n with nothing.
+// startNode starts n with nothing. It reads the list at once if it reaches the platform or a peer.
 func (f *simFleet) startNode(n *simNode) {
 	n.start++
 	n.down = false
 	n.allot = allot.New(n.instance.Name, n.instance.Centre)
 	n.list, n.limit, n.confirmedAt = -1, -1, f.now
 	n.lag = f.upTo(listLag)
-	f.look(n, 0)
+	if f.learns(n) {
+		f.look(n, 0)
+	}
 }
 
 // seesPlatform reports whether n reads the platform.
@@ -286,9 +288,9 @@
 	return 900*time.Microsecond + f.upTo(400*time.Microsecond)
 }
 
-// request makes a request of a customer arrive at n.
+// request makes a request of a customer arrive at n. A node without rules takes none.
 func (f *simFleet) request(n *simNode, customer string) {
-	if n.down || n.isFrozen(f.now) {
+	if n.down || n.isFrozen(f.now) || n.limit < 0 {
 		return
 	}
 	f.offered[customer]++
--- a/core/allot/lend.go
+++ b/core/allot/lend.go
@@ -66,9 +66,9 @@
 	return g
 }
 
-// HeardFrom records a message of another instance.
+// HeardFrom records a message of another instance. One that is not listed does not count.
 func (a *Allot) HeardFrom(now time.Time, instance string) {
-	if len(a.customers) > 0 {
+	if _, listed := a.instances[instance]; listed && len(a.customers) > 0 {
 		a.heardFrom[instance] = now
 	}
 }
@@ -89,7 +89,7 @@
 }
 
 // hearsPeers reports whether this node hears of the other instances of its data centre: of minHeard
-// of them, or of half if they are few.
+// of them, or of half if they are few. One that is alone in its data centre must hear of any other.
 func (a *Allot) hearsPeers(now time.Time) bool {
 	heard, all := 0, 0
 	for _, name := range a.members[a.centre] {
@@ -101,6 +101,14 @@
 			heard++
 		}
 	}
+	if all == 0 && len(a.instances) > 1 {
+		for _, at := range a.heardFrom {
+			if now.Sub(at) <= touchTime {
+				return true
+			}
+		}
+		return false
+	}
 	return heard >= min(minHeard, (all+1)/2)
 }
 
@@ -133,7 +141,7 @@
 		b.tokens += b.rate * added
 		b.last = now
 	}
-	b.tokens = min(b.tokens, b.size*a.shareOf(now, b))
+	b.tokens = min(b.tokens, max(b.size*a.shareOf(now, b), 1))
 }
 
 // latest returns the later of two times.
