test(io/soak): a customer beyond its limit

A customer asks for more than its limit at all nodes during the faults. No more of its claims than the bound may run in any five seconds, and some must.

--- a/io/soak/customers.go
+++ b/io/soak/customers.go
@@ -27,8 +27,9 @@
 
 // customersText returns the rules of the customers in a version of the rules.
 func customersText(version int) string {
-	return fmt.Sprintf("customer %s keys=%s   # soak: the callers\ncustomer rolling keys=%s,%s   # soak: new credentials\n",
-		steadyCustomer, creds.Digest(steadyCredential), creds.Digest(rollingCredential(version)), creds.Digest(rollingCredential(version-1)))
+	return fmt.Sprintf("customer %s keys=%s   # soak: the callers\ncustomer rolling keys=%s,%s   # soak: new credentials\ncustomer %s keys=%s rate=%d burst=%d   # soak: a limit\n",
+		steadyCustomer, creds.Digest(steadyCredential), creds.Digest(rollingCredential(version)), creds.Digest(rollingCredential(version-1)),
+		limitedCustomer, creds.Digest(limitedCredential), limitedRate, limitedBurst)
 }
 
 // sendAsStranger sends claims with a credential that no rules hold, until ctx is done. None of
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -74,6 +74,8 @@
 	rulesRevisions map[string]uint64
 	// strangers are the IDs of the claims with a credential that no rules hold.
 	strangers []string
+	// limited are the claims of limitedCustomer that ran.
+	limited []limitedRun
 }
 
 // result is what a caller observed of one request.
@@ -159,6 +161,9 @@
 	for i, n := range s.deployment.instances {
 		all.Go(func() { s.sendAsStranger(sendCtx, n, fmt.Sprintf("%d-%d-stranger", s.options.Seed, i)) })
 	}
+	for i, n := range s.deployment.instances {
+		all.Go(func() { s.sendAsLimited(sendCtx, n, fmt.Sprintf("%d-%d-limited", s.options.Seed, i)) })
+	}
 	all.Go(func() { s.monitor(sendCtx) })
 	began := time.Now()
 	var faults sync.WaitGroup
@@ -184,6 +189,7 @@
 	}
 	all.Wait()
 	s.checkCredentials()
+	s.checkLimit()
 	return ctx.Err()
 }
 
