--- a/io/intake/sound_test.go
+++ b/io/intake/sound_test.go
@@ -35,6 +35,7 @@
 		c.Assert(err, qt.IsNil)
 		body, err := io.ReadAll(a.Body)
 		c.Assert(err, qt.IsNil)
+		c.Assert(a.Body.Close(), qt.IsNil)
 		c.Check(len(body) > size, qt.IsTrue)
 	}
 	c.Assert(conn.Close(), qt.IsNil)
@@ -96,6 +97,7 @@
 		c.Assert(err, qt.IsNil)
 		_, err = io.Copy(io.Discard, a.Body)
 		c.Assert(err, qt.IsNil)
+		c.Assert(a.Body.Close(), qt.IsNil)
 		c.Check(a.StatusCode, qt.Equals, 200)
 	}
 	c.Assert(conn.Close(), qt.IsNil)
@@ -157,6 +159,9 @@
 					if _, err := io.Copy(io.Discard, a.Body); err != nil || a.StatusCode != http.StatusOK {
 						t.Errorf("response %d: status %d, %v", i, a.StatusCode, err)
 					}
+					if err := a.Body.Close(); err != nil {
+						t.Errorf("response %d: %v", i, err)
+					}
 				}
 				_ = conn.Close()
 			}
