feat(platform): routes of the kind upload, and one unknown kind refuses only its route

What callers saw: with a route of the kind `upload`, or any other unknown one, no node served anything, as the whole configuration was refused.

The kind upload becomes a route with idempotent=no and the new key upload=yes. Weighed: leaving the route out would send its requests to a route with a shorter prefix, perhaps of another service; 404 would deny what the configuration allows; running it as at most once would guess what a kind means that may bind more than repeats.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -67,6 +67,8 @@
 	ReasonAllotment    Reason = "allotment"  // the customer has used up its limit
 	ReasonOwners       Reason = "owners"     // no node that lends tokens of the customer's limit responds
 	ReasonBody         Reason = "body"       // the body is larger than its rule allows
+	ReasonKind         Reason = "kind"       // the route is of a kind that the node does not know
+	ReasonMemory       Reason = "memory"     // the bodies of uploads take all the memory that they may
 	ReasonRules        Reason = "rules"      // the node has not loaded any rules yet
 	ReasonDepth        Reason = "depth"      // the calls are nested too deeply
 	ReasonDeadline     Reason = "deadline"   // the time left is too short or used up
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -137,6 +137,9 @@
 		return n.reply(now, req, effect.NotRun, effect.ReasonRoute, out)
 	}
 	req.route = r
+	if r.Refused {
+		return n.reply(now, req, effect.NotRun, effect.ReasonKind, out)
+	}
 	if n.rules.HasCustomers() {
 		var isServed bool
 		if isServed, out = n.checkCredential(now, e, req, out); !isServed {
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -75,6 +75,8 @@
 	intKey("rank", 1, MaxPriority, "3", func(r *Route) *int { return &r.Priority }),
 	sizeKey("body", "1MB", func(r *Route) *int64 { return &r.MaxBodyBytes }),
 	omitDefault(boolKey("public", func(r *Route) *bool { return &r.Public }), "no"),
+	omitDefault(boolKey("upload", func(r *Route) *bool { return &r.Upload }), "no"),
+	omitDefault(boolKey("refuse", func(r *Route) *bool { return &r.Refused }), "no"),
 }
 
 // KeyDigests is the key of a customer rule whose value is a list of digests.
--- a/core/rules/lookup.go
+++ b/core/rules/lookup.go
@@ -29,6 +29,8 @@
 	customers map[string]int
 	centres   map[string]struct{}
 	instances map[string]struct{}
+	// uploads is set if a route is for uploads.
+	uploads bool
 }
 
 // newIndex returns the index of s.
@@ -66,6 +68,7 @@
 
 // addRoute adds the route r, which is at position i of the Set.
 func (x *index) addRoute(r Route, i int) {
+	x.uploads = x.uploads || r.Upload
 	prefix, found := strings.CutSuffix(r.Path, "*")
 	if !found {
 		x.literals[routePattern{r.Host, r.Method, r.Path}] = i
@@ -91,6 +94,9 @@
 	return Route{}, false
 }
 
+// HasUploads reports whether any route is for uploads.
+func (s *Set) HasUploads() bool { return s.index.uploads }
+
 // route returns the position of the route of a request among the routes for exactly
 // that host, where an empty host stands for all hosts.
 func (x *index) route(method, host, path string) (int, bool) {
--- a/core/rules/parse_test.go
+++ b/core/rules/parse_test.go
@@ -43,6 +43,33 @@
 	c.Assert(s.IsOutOfService("north", "south-1"), qt.IsFalse)
 }
 
+func TestUploadRoute(t *testing.T) {
+	c := qt.New(t)
+	s, err := Parse(validService + "route POST /files service=ledger idempotent=no upload=yes # Asha: scans\nroute * /new/* idempotent=no refuse=yes # Asha: not yet")
+	c.Assert(err, qt.IsNil)
+	r, ok := s.Route("POST", "", "/files")
+	c.Assert(ok, qt.IsTrue)
+	c.Check(r.Upload, qt.IsTrue)
+	c.Check(s.HasUploads(), qt.IsTrue)
+	c.Check(r.String(), qt.Contains, " upload=yes")
+	r, ok = s.Route("POST", "", "/new/1")
+	c.Assert(ok, qt.IsTrue)
+	c.Check(r.Refused, qt.IsTrue)
+	again, err := Parse(s.String())
+	c.Assert(err, qt.IsNil)
+	c.Check(again.String(), qt.Equals, s.String())
+
+	s, err = Parse(validService + validRoute)
+	c.Assert(err, qt.IsNil)
+	c.Check(s.HasUploads(), qt.IsFalse)
+	c.Check(s.String(), qt.Not(qt.Contains), "upload")
+
+	_, err = Parse(validService + "route POST /files service=ledger idempotent=yes upload=yes # Asha: scans")
+	var faults *FaultsError
+	c.Assert(errors.As(err, &faults), qt.IsTrue)
+	c.Check(faults.Faults[0].Problem, qt.Equals, "upload=yes contradicts idempotent=yes")
+}
+
 func TestParseDefaults(t *testing.T) {
 	c := qt.New(t)
 	s, err := Parse(validService + validRoute)
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -102,16 +102,19 @@
 	}
 	p.checkDuplicate(words[1].column, "route "+routeName(&r))
 	p.checkServiceKeys(words[2].column, r, seen)
+	if r.Upload && r.Idempotent {
+		p.addFault(seen["upload"].column, "upload=yes contradicts idempotent=yes", "write idempotent=no, as an upload runs at most once")
+	}
 	p.set.Routes = append(p.set.Routes, r)
 }
 
 // checkServiceKeys records the services that r names. It reports a fault if the route
-// has neither of the keys service and split, or both.
+// has neither of the keys service and split, unless it is refused, or both.
 func (p *parser) checkServiceKeys(column int, r Route, seen map[string]word) {
 	service, hasService := seen["service"]
 	split, hasSplit := seen["split"]
 	switch {
-	case !hasService && !hasSplit:
+	case !hasService && !hasSplit && !r.Refused:
 		p.addFault(column, "key service is missing", "add service=ledger")
 	case hasService && hasSplit:
 		p.addFault(split.column, "the route has both service and split", "delete one of the two")
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -87,7 +87,13 @@
 	MaxBodyBytes int64
 	// Public is set if requests need no credential of a customer.
 	Public bool
-	Origin Origin
+	// Upload is set if the requests carry large bodies that arrive slowly. Such a body is held
+	// at the entry until it is complete, before the request takes a slot anywhere.
+	Upload bool
+	// Refused is set if the requests are never run, but rejected as such. A route that cannot
+	// be served keeps its requests from a route with a shorter prefix.
+	Refused bool
+	Origin  Origin
 }
 
 // Customer is a party that callers send requests for. If a Set has customers, requests on
