feat(io/front): hold the body of an upload before the request takes a slot

What callers saw: a body above 64 KB was forwarded while it arrived, so that a caller on a slow link held a slot of a backend server for as long as it sent, and the request could go to one backend server only.

A refusal comes before the body, also with Expect: 100-continue. The time that any buffered body takes counts towards the deadline of its request: the backend server was told the time left at the head.

Deployments without such a route: one pointer is read for each request with a body; nothing else changes.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -348,6 +348,8 @@
 	DecisionDone DecisionKind = "done"
 	// DecisionFailed is a response that the entry itself sends to the caller.
 	DecisionFailed DecisionKind = "failed"
+	// DecisionHeld is the body of an upload that has arrived whole.
+	DecisionHeld DecisionKind = "held"
 	// DecisionDisconnected is a caller that has disconnected.
 	DecisionDisconnected DecisionKind = "gone"
 	// DecisionAdmitted is an attempt that a guard admits.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -128,7 +128,7 @@
 
 // start starts to process a request that has arrived at the time now or was held until then.
 func (n *Entry) start(now time.Time, e event.Request, out []effect.Effect) []effect.Effect {
-	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
+	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At.Add(-e.Waited), callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
 	if n.rules == nil {
 		return n.reply(now, req, effect.NotRun, effect.ReasonRules, out)
 	}
@@ -157,7 +157,10 @@
 		return n.reply(now, req, effect.NotRun, limitReason(err), out)
 	}
 	req.limits = limits
-	req.deadline = e.At.Add(limits.TimeLeft)
+	req.deadline = req.arrivedAt.Add(limits.TimeLeft)
+	if !now.Before(req.deadline) {
+		return n.reply(now, req, effect.NotRun, effect.ReasonDeadline, out)
+	}
 	n.requests[req.id] = req
 	// Guards keep no record of idempotent attempts, so an idempotent request is sent
 	// again instead.
@@ -198,7 +201,7 @@
 
 // Reject tells the caller that its request has not run, with reason r.
 func (n *Entry) Reject(e event.Request, r effect.Reason, out []effect.Effect) []effect.Effect {
-	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft}
+	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At.Add(-e.Waited), callerTimeout: e.Call.TimeLeft}
 	return n.reply(e.At, req, effect.NotRun, r, out)
 }
 
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -34,6 +34,9 @@
 	// Ticket identifies the attempt whose outcome the caller queries, or is nil.
 	Ticket *ticket.Ticket
 	Call   nested.Limits
+	// Waited is the time from the arrival of the head to At: that for which the body was read, or
+	// the request waited for those before it on its connection.
+	Waited time.Duration
 	Random uint64
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -22,6 +22,7 @@
 	"bulrushlock/core/owner"
 	"bulrushlock/core/pick"
 	"bulrushlock/core/report"
+	"bulrushlock/core/rules"
 	"bulrushlock/core/ticket"
 )
 
@@ -317,12 +318,17 @@
 	return ""
 }
 
+// Rules returns the rules in force, or nil if the node holds none yet.
+func (n *Node) Rules() *rules.Set {
+	s, _ := n.gossip.Rules()
+	return s
+}
+
 // Ready reports whether the node can serve callers: it holds the rules and the instance list,
 // and is not leaving.
 func (n *Node) Ready() bool {
-	_, rules := n.gossip.Rules()
 	_, list := n.gossip.Fleet()
-	return rules && list && !n.guard.Leaving()
+	return n.Rules() != nil && list && !n.guard.Leaving()
 }
 
 // Status is the state of a node as reported to operators.
--- a/core/reqlog/reqlog.go
+++ b/core/reqlog/reqlog.go
@@ -45,7 +45,7 @@
 }
 
 // stages gives the causal order of the decisions about one attempt.
-var stages = map[string]int{"placed": 0, "admitted": 1, "refused": 1, "served": 2, "broken": 3, "done": 3, "failed": 4, "gone": 4}
+var stages = map[string]int{"held": 0, "placed": 0, "admitted": 1, "refused": 1, "served": 2, "broken": 3, "done": 3, "failed": 4, "gone": 4}
 
 // New returns an empty log of the request with the given id.
 func New(id string) *Log { return &Log{id: id} }
@@ -133,6 +133,8 @@
 	"unlisted":   "the guard's instance is not in the instance list",
 	"leaving":    "the guard's instance is leaving",
 	"out":        "the operator has taken the data centre or the instance out of service",
+	"kind":       "the route is of a kind that cannot be served",
+	"memory":     "the bodies of uploads took all the memory that they may",
 	"rules":      "the entry had not loaded any rules yet",
 	"route":      "no rule matches the request",
 	"old":        "the rules of the node may be out of date, and nobody has confirmed them",
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -48,6 +48,12 @@
 // maxLinkMegabits is the largest value of the key "link", in megabits per second.
 const maxLinkMegabits = 1_000_000
 
+// Limits and default of the key "hold", in megabytes.
+const (
+	defaultHold = 16
+	maxHold     = 65_536
+)
+
 // Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
@@ -107,6 +113,9 @@
 	// LinkMegabits is the bandwidth of the instance's network link in megabits per
 	// second, or 0 if unknown.
 	LinkMegabits float64
+	// HoldMegabytes is the memory in megabytes for the bodies of uploads that arrive; with 0
+	// they are forwarded while they arrive.
+	HoldMegabytes int
 	// LogRate is the rate in log lines per second above which lines of successful requests
 	// are omitted.
 	LogRate int
@@ -208,6 +217,7 @@
 		{"lag", s.MaxStaleness == o.MaxStaleness},
 		{"revoke", s.MaxCredentialAge == o.MaxCredentialAge},
 		{"link", s.LinkMegabits == o.LinkMegabits},
+		{"hold", s.HoldMegabytes == o.HoldMegabytes},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -62,6 +62,7 @@
 		MaxStaleness: 30 * time.Second,
 
 		MaxCredentialAge: 5 * time.Second,
+		HoldMegabytes:    16,
 	}
 	c.Assert(reflect.DeepEqual(s, want), qt.IsTrue, qt.Commentf("got %+v", s))
 	_, err = Load(filepath.Join(t.TempDir(), "none.yaml"))
@@ -151,6 +152,8 @@
 		{"link below 0", "link: -1\n", `n:10:7: key "link": must be a number from 0 to 1000000, not -1`},
 		{"ask no number", "ask: some\n", `n:10:6: key "ask": must be a whole number .*`},
 		{"no lines", "lines: 0\n", `n:10:8: key "lines": must be a whole number from 1 .*`},
+		{"hold below 0", "hold: -1\n", `n:10:7: key "hold": must be a whole number from 0 to 65536, not -1`},
+		{"hold too large", "hold: 70000\n", `n:10:7: key "hold": must be a whole number from 0 to 65536, not 70000`},
 		{"rules no sequence", "rules: out centre=a\n", `n:10:8: key "rules": must be a sequence .*`},
 		{"rule without who", "rules:\n- out centre=a\n", `n:11:3: key "rules": rules: 1:.*does not tell who.*`},
 	}
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -31,7 +31,7 @@
 // newDecoder returns a decoder whose settings have their default values.
 func newDecoder() *decoder {
 	d := &decoder{
-		settings: Settings{Isolated: IsolatedServe, DrainTime: defaultDrain, MaxStaleness: defaultLag, Dialect: DialectPlain, LogRate: defaultLines},
+		settings: Settings{Isolated: IsolatedServe, DrainTime: defaultDrain, MaxStaleness: defaultLag, Dialect: DialectPlain, LogRate: defaultLines, HoldMegabytes: defaultHold},
 		values:   make(map[string]ast.Node),
 	}
 	s := &d.settings
@@ -50,6 +50,7 @@
 		{name: "ask", optional: true, read: d.countInto("ask", &s.ProbeCount, 0, maxAsk)},
 		{name: "lines", optional: true, read: d.countInto("lines", &s.LogRate, 1, maxLines)},
 		{name: "link", optional: true, read: d.numberInto("link", &s.LinkMegabits, 0, maxLinkMegabits)},
+		{name: "hold", optional: true, read: d.countInto("hold", &s.HoldMegabytes, 0, maxHold)},
 		{name: "rules", optional: true, read: d.readRules},
 		{name: "peers", optional: true, read: d.readPeers},
 		{name: "isolated", optional: true, read: d.choiceInto("isolated", &s.Isolated, IsolatedServe, IsolatedReject)},
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -64,8 +64,9 @@
 	// again while some are not accepted, at most for maxAcceptTime.
 	acceptTime    = 100 * time.Millisecond
 	maxAcceptTime = 2 * time.Second
-	// megabit converts megabits to bits.
-	megabit = 1e6
+	// megabit converts megabits to bits, and megabyte megabytes to bytes.
+	megabit  = 1e6
+	megabyte = 1 << 20
 	// idleTimeout is the time after which an idle connection to one of the HTTP
 	// listeners is closed.
 	idleTimeout = 2 * time.Minute
@@ -293,6 +294,7 @@
 		Dialect:     dialect,
 		Service:     d.settings.Service,
 		HideTickets: !isPlain,
+		HoldBytes:   int64(d.settings.HoldMegabytes) * megabyte,
 		Egress:      writer,
 	})
 	d.background.Start(d.loop, w)
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -29,6 +29,10 @@
 	// not buffered; nil for a buffered body.
 	stream   *lease.Body
 	streamed *proto.StreamedBody
+	// bodyUnread reports that the caller may still send a body that nobody reads.
+	bodyUnread bool
+	// holdsMemory reports that the body takes memory of the account for uploads.
+	holdsMemory bool
 	// tooLarge reports that a body of unknown length exceeded the limit of its
 	// route.
 	tooLarge atomic.Bool
@@ -72,6 +76,9 @@
 	if cr.stream != nil {
 		cr.stream.Close()
 	}
+	if cr.holdsMemory {
+		cr.front.uploads.end(cr.id)
+	}
 	cr.mutex.Lock()
 	defer cr.mutex.Unlock()
 	for _, a := range cr.attempts {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -49,6 +50,9 @@
 	Service string
 	// Egress writes the responses to callers.
 	Egress *egress.Writer
+	// HoldBytes is the memory in bytes for the bodies of uploads that arrive; 0 holds none, and
+	// forwards them while they arrive.
+	HoldBytes int64
 	// HideTickets omits tickets from responses, for callers that do not support
 	// tickets.
 	HideTickets bool
@@ -64,6 +68,7 @@
 type Front struct {
 	loop        *loop.Loop
 	options     Options
+	uploads     *uploads
 	outcomes    map[effect.Outcome]tally.Counter
 	requestTime tally.Histogram
 }
@@ -75,7 +80,7 @@
 	if o.Dialect == nil {
 		o.Dialect = proto.Plain{}
 	}
-	f := &Front{loop: l, options: o, outcomes: make(map[effect.Outcome]tally.Counter)}
+	f := &Front{loop: l, options: o, uploads: newUploads(o.HoldBytes), outcomes: make(map[effect.Outcome]tally.Counter)}
 	for _, outcome := range []effect.Outcome{effect.Run, effect.NotRun, effect.Unknown, effect.Running} {
 		f.outcomes[outcome] = o.Scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("requests")
 	}
@@ -93,7 +98,12 @@
 	}
 	cr := newCallerRequest(f, w, r)
 	defer cr.close()
-	if err := cr.readBody(&e); err != nil {
+	if err := cr.receiveBody(&e); err != nil {
+		var refused *refusedError
+		if errors.As(err, &refused) {
+			cr.refuseUpload(e, refused)
+			return
+		}
 		p := problem{Status: http.StatusBadRequest, Outcome: effect.NotRun.String(), Reason: "body", Detail: err.Error()}
 		writeProblem(w, p)
 		return
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -54,6 +54,11 @@
 
 // newTestNodeWith is newTestNode with other rules.
 func newTestNodeWith(c *qt.C, rules, name string, server netip.AddrPort, nodes netip.AddrPort) testNode {
+	return newTestNodeOptions(c, rules, name, server, nodes, Options{})
+}
+
+// newTestNodeOptions is newTestNodeWith with options for callers.
+func newTestNodeOptions(c *qt.C, rules, name string, server, nodes netip.AddrPort, o Options) testNode {
 	self := ticket.NodeID{Instance: name, Incarnation: 1}
 	n := node.New(node.Config{Instance: name, Incarnation: 1, Centre: "north", Service: "filing"}, pick.NewLoadAware())
 	l := loop.New(n, loop.Options{Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope, Execute: func(effect.Effect) {}})
@@ -67,8 +72,9 @@
 	k := remote.New(l, &net.Dialer{})
 	c.Cleanup(k.Close)
 	w := wire.New(l, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
+	o.Local, o.Remote, o.Querier, o.Scope, o.Egress = g, k, w, tally.NoopScope, writer
 	p := testNode{
-		callers: httptest.NewServer(New(l, Options{Local: g, Remote: k, Querier: w, Scope: tally.NoopScope, Egress: writer})),
+		callers: httptest.NewServer(New(l, o)),
 		nodes:   httptest.NewServer(g),
 	}
 	c.Cleanup(p.callers.Close)
--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -136,7 +136,7 @@
 	if p.Status == http.StatusUnauthorized {
 		cr.writer.Header().Set("WWW-Authenticate", credentialScheme)
 	}
-	if cr.stream != nil {
+	if cr.stream != nil || cr.bodyUnread {
 		// Otherwise the response would not be sent until the caller has sent the
 		// whole body.
 		cr.writer.Header().Set("Connection", "close")
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -123,12 +123,30 @@
 	return creds.Digest(credential)
 }
 
-// readBody buffers a small body in memory. A larger one is streamed and can be
-// sent only once.
-func (cr *callerRequest) readBody(e *event.Request) error {
+// receiveBody makes the body of the request ready to be sent. The time that this takes counts
+// towards the deadline of the request.
+func (cr *callerRequest) receiveBody(e *event.Request) error {
 	if cr.request.ContentLength == 0 {
 		return nil
 	}
+	var err error
+	if route, left, ok := cr.front.uploadRoute(*e); ok {
+		err = cr.holdBody(e, route, left)
+	} else {
+		err = cr.readBody(e)
+	}
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	e.Waited += now.Sub(e.At)
+	e.At = now
+	return nil
+}
+
+// readBody buffers a small body in memory. A larger one is streamed and can be
+// sent only once.
+func (cr *callerRequest) readBody(e *event.Request) error {
 	if cr.request.ContentLength > maxBufferedBody {
 		return cr.streamBody(e, nil)
 	}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -18,6 +18,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -28,6 +29,7 @@
 	"bulrushlock/core/node"
 	"bulrushlock/core/report"
 	"bulrushlock/core/ring"
+	"bulrushlock/core/rules"
 )
 
 const (
@@ -75,6 +77,8 @@
 	mailboxes map[uint64]chan effect.Effect
 	next      uint64
 	effects   []effect.Effect
+	// rules are the rules in force after the last event.
+	rules atomic.Pointer[rules.Set]
 	// decisionCounters caches one counter for each combination of kind and reason. There are
 	// few of them.
 	decisionCounters map[decisionLabels]tally.Counter
@@ -158,9 +162,23 @@
 	defer l.mutex.Unlock()
 	defer l.recoverStep(e)
 	l.effects = l.node.Step(e, l.effects[:0])
+	if s := l.node.Rules(); s != l.rules.Load() {
+		l.rules.Store(s)
+	}
 	l.dispatch(l.effects)
 }
 
+// Rules returns the rules in force, or nil if there are none yet. It does not wait for an event
+// that is being processed.
+func (l *Loop) Rules() *rules.Set { return l.rules.Load() }
+
+// Record counts and logs a decision that is made outside the reducer.
+func (l *Loop) Record(d effect.Decision) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.recordDecision(d)
+}
+
 // View calls f with the reducer. No event is processed until f returns.
 func (l *Loop) View(f func(n *node.Node)) {
 	l.mutex.Lock()
