--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -67,6 +67,8 @@
 	ReasonAllotment    Reason = "allotment"  // the customer has used up its limit
 	ReasonOwners       Reason = "owners"     // no node that lends tokens of the customer's limit responds
 	ReasonBody         Reason = "body"       // the body is larger than its rule allows
+	ReasonKind         Reason = "kind"       // the route is of a kind that the node does not know
+	ReasonMemory       Reason = "memory"     // the bodies of uploads take all the memory that they may
 	ReasonRules        Reason = "rules"      // the node has not loaded any rules yet
 	ReasonDepth        Reason = "depth"      // the calls are nested too deeply
 	ReasonDeadline     Reason = "deadline"   // the time left is too short or used up
@@ -346,6 +348,8 @@
 	DecisionDone DecisionKind = "done"
 	// DecisionFailed is a response that the entry itself sends to the caller.
 	DecisionFailed DecisionKind = "failed"
+	// DecisionHeld is the body of an upload that has arrived whole.
+	DecisionHeld DecisionKind = "held"
 	// DecisionDisconnected is a caller that has disconnected.
 	DecisionDisconnected DecisionKind = "gone"
 	// DecisionAdmitted is an attempt that a guard admits.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -137,7 +137,7 @@
 
 // start starts to process a request that has arrived at the time now or was held until then.
 func (n *Entry) start(now time.Time, e event.Request, out []effect.Effect) []effect.Effect {
-	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, size: e.Size, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
+	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At.Add(-e.Waited), callerTimeout: e.Call.TimeLeft, key: e.Key, firstUse: e.FirstUse, size: e.Size, bodyOnce: e.SingleUseBody, last: e.Ticket, isOutcomeQuery: e.Ticket != nil}
 	if n.rules == nil {
 		return n.reply(now, req, effect.NotRun, effect.ReasonRules, out)
 	}
@@ -146,6 +146,9 @@
 		return n.reply(now, req, effect.NotRun, effect.ReasonRoute, out)
 	}
 	req.route = r
+	if r.Refused {
+		return n.reply(now, req, effect.NotRun, effect.ReasonKind, out)
+	}
 	if n.rules.HasCustomers() {
 		var isServed bool
 		if isServed, out = n.checkCredential(now, e, req, out); !isServed {
@@ -163,7 +166,10 @@
 		return n.reply(now, req, effect.NotRun, limitReason(err), out)
 	}
 	req.limits = limits
-	req.deadline = e.At.Add(limits.TimeLeft)
+	req.deadline = req.arrivedAt.Add(limits.TimeLeft)
+	if !now.Before(req.deadline) {
+		return n.reply(now, req, effect.NotRun, effect.ReasonDeadline, out)
+	}
 	n.requests[req.id] = req
 	// Guards keep no record of idempotent attempts, so an idempotent request is sent
 	// again instead.
@@ -203,7 +209,7 @@
 
 // Reject tells the caller that its request has not run, with reason r.
 func (n *Entry) Reject(e event.Request, r effect.Reason, out []effect.Effect) []effect.Effect {
-	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At, callerTimeout: e.Call.TimeLeft}
+	req := &request{id: e.ID, name: e.Name, arrivedAt: e.At.Add(-e.Waited), callerTimeout: e.Call.TimeLeft}
 	return n.reply(e.At, req, effect.NotRun, r, out)
 }
 
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -70,6 +70,12 @@
 	maxFiles  = 1 << 24
 )
 
+// Limits and default of the key "hold", in megabytes.
+const (
+	defaultHold = 16
+	maxHold     = 65_536
+)
+
 // Limits and defaults of the keys "drain", "lag" and "revoke".
 const (
 	defaultDrain = 3 * time.Second
@@ -138,6 +144,9 @@
 	// Files is the number of descriptors that the node may have open, or 0 for the limit of the
 	// process.
 	Files int
+	// HoldMegabytes is the memory in megabytes for the bodies of uploads that arrive; with 0
+	// they are forwarded while they arrive.
+	HoldMegabytes int
 	// LogRate is the rate in log lines per second above which lines of successful requests
 	// are omitted.
 	LogRate int
@@ -243,6 +252,7 @@
 		{"cross", s.CrossPrice == o.CrossPrice},
 		{"memory", s.MemoryMegabytes == o.MemoryMegabytes},
 		{"files", s.Files == o.Files},
+		{"hold", s.HoldMegabytes == o.HoldMegabytes},
 		{"dialect", s.Dialect == o.Dialect},
 		{"rules", slices.Equal(s.Rules, o.Rules)},
 	} {
--- a/io/conf/reader.go
+++ b/io/conf/reader.go
@@ -33,7 +33,7 @@
 // newDecoder returns a decoder whose settings have their default values.
 func newDecoder() *decoder {
 	d := &decoder{
-		settings: Settings{Isolated: IsolatedServe, DrainTime: defaultDrain, MaxStaleness: defaultLag, Dialect: DialectPlain, LogRate: defaultLines},
+		settings: Settings{Isolated: IsolatedServe, DrainTime: defaultDrain, MaxStaleness: defaultLag, Dialect: DialectPlain, LogRate: defaultLines, HoldMegabytes: defaultHold},
 		values:   make(map[string]ast.Node),
 	}
 	s := &d.settings
@@ -55,6 +55,7 @@
 		{name: "cross", optional: true, read: d.readCross},
 		{name: "memory", optional: true, read: d.countInto("memory", &s.MemoryMegabytes, minMemory, maxMemory)},
 		{name: "files", optional: true, read: d.countInto("files", &s.Files, minFiles, maxFiles)},
+		{name: "hold", optional: true, read: d.countInto("hold", &s.HoldMegabytes, 0, maxHold)},
 		{name: "rules", optional: true, read: d.readRules},
 		{name: "peers", optional: true, read: d.readPeers},
 		{name: "isolated", optional: true, read: d.choiceInto("isolated", &s.Isolated, IsolatedServe, IsolatedReject)},
--- a/io/daemon/intake.go
+++ b/io/daemon/intake.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// megabyte converts megabytes to bytes.
-	megabyte = 1 << 20
 	// intakeShare is the part of the memory that is held at most for requests which haven't been
 	// accepted, and connectionShare the part that incoming connections take at most.
 	intakeShare     = 12
