test(io/soak): a withdrawn credential is refused, once its node can judge it

The check after recovery took 503 for acceptance. It now asks until the credential is judged, which must be a 401 within 10 s, and counts that no such claim ran, which it did not do before.

--- a/io/soak/customers.go
+++ b/io/soak/customers.go
@@ -71,6 +71,24 @@
 	return resp.Header.Get("Bulrushlock-Outcome"), resp.StatusCode
 }
 
+const (
+	// judgeTime is the time within which a node judges a credential after recovery, and
+	// judgeInterval the pause between two claims meanwhile.
+	judgeTime     = 10 * time.Second
+	judgeInterval = 200 * time.Millisecond
+)
+
+// claimUntilJudged sends a claim until the node judges its credential. A node whose rules nobody has
+// confirmed for a moment can neither take nor refuse one, and responds with 503.
+func (s *Soak) claimUntilJudged(n *instance, id, credential string) (outcome string, status int) {
+	for end := time.Now().Add(judgeTime); ; time.Sleep(judgeInterval) {
+		outcome, status = s.claimWith(n, id, credential)
+		if status != http.StatusServiceUnavailable || time.Now().After(end) {
+			return outcome, status
+		}
+	}
+}
+
 // checkCredentials checks after recovery that each node takes the newest credential and none that
 // was withdrawn, and that no claim of a stranger ran.
 func (s *Soak) checkCredentials() {
@@ -80,9 +98,11 @@
 			s.addViolation("node %s refuses the newest credential: %s", n.name, outcome)
 		}
 		for version := range newest - 1 {
-			if outcome, status := s.claimWith(n, fmt.Sprintf("%d-%d-old-%d", s.options.Seed, i, version), rollingCredential(version)); status != http.StatusUnauthorized {
-				s.addViolation("node %s takes withdrawn credential %d of %d: %s, status %d", n.name, version, newest, outcome, status)
+			id := fmt.Sprintf("%d-%d-old-%d", s.options.Seed, i, version)
+			if outcome, status := s.claimUntilJudged(n, id, rollingCredential(version)); status != http.StatusUnauthorized {
+				s.addViolation("node %s does not refuse withdrawn credential %d of %d: %s, status %d", n.name, version, newest, outcome, status)
 			}
+			s.strangers = append(s.strangers, id)
 		}
 	}
 	for _, id := range s.strangers {
