fix(io/front): a refused upload has its time to end

The limit of 50 ms for bodies that nobody reads, set with the head of the response, shortened the 5 s that a refused upload has: a caller on a slow link that was still sending could get a reset in place of the 503.

Cause: the longer limit was set before the response.

Evidence: TestLongerLimitForUnreadBodyCounts sends a body for 0.9 s beside the response; without a later limit its writes fail.

Why this works: the limit that is set after the response counts.

--- a/io/front/upload.go
+++ b/io/front/upload.go
@@ -178,8 +178,8 @@
 		{Key: "total_us", Value: time.Since(e.At).Microseconds()},
 		{Key: "retry_us", Value: reply.RetryAfter.Microseconds()},
 	}})
-	// An error means that the connection is closed.
-	_ = http.NewResponseController(cr.writer).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
 	cr.writeOutcome(reply)
+	// The limit for bodies that nobody reads is shorter. An error means that the connection is closed.
+	_ = http.NewResponseController(cr.writer).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
 	cr.front.outcomes[cr.outcome].Inc(1)
 }
