--- /dev/null
+++ b/review/stand-2/storm.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// stormChanges is the number of changes in quick succession, and stormInterval the time between two of them.
+	stormChanges  = 25
+	stormInterval = 60 * time.Millisecond
+	// growths is the number of changes that the configuration has grown by before, each by growth routes.
+	growths = 10
+)
+
+// stormConfiguration changes a configuration of about 0.5 MB many times in quick succession. The last change moves a
+// route to another service, and a zone is evacuated after it. Without trouble there is only that last change. It
+// returns the requests that were run by the old service, or in the evacuated zone, past the bounds.
+func stormConfiguration(record *Record, trouble bool) ([]string, error) {
+	d, err := smallDeployment(record)
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	routes := movableRoutes()
+	for range growths {
+		routes = addRoutes(routes)
+		d.Configure(routes)
+		time.Sleep(growthInterval)
+	}
+	changes := 1
+	if trouble {
+		changes = stormChanges
+	}
+	for i := range changes {
+		routes = append(routes, Route{Name: fmt.Sprintf("r-new-%d", i), Prefix: fmt.Sprintf("/new-%d/", i), Kind: "idempotent", Service: "lookup", Timeout: budget, Target: 500 * time.Millisecond})
+		if i == changes-1 {
+			routes[0].Service = "filing"
+		}
+		d.Configure(routes)
+		time.Sleep(stormInterval)
+	}
+	ended := time.Now()
+	broken, err := checkInForce(d)
+	if err != nil || len(broken) == 0 {
+		return broken, err
+	}
+	// Says only how long it lasts: the bounds are long over.
+	time.Sleep(time.Until(ended.Add(historyTime + 5*time.Second)))
+	late, err := ask(d, "/moved/rates", oldService)
+	record.Printf("%v after the last change, %d requests were run by the old service", time.Since(ended).Round(time.Second), len(late))
+	return broken, err
+}
