--- a/review/stand-2/growing.go
+++ b/review/stand-2/growing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -102,7 +103,7 @@
 			return nil, err
 		}
 		for range 5 {
-			r, err := q.Send(target, budget)
+			r, err := q.Send(http.MethodGet, target, budget)
 			if err != nil {
 				return nil, err
 			}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -8,9 +8,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -21,7 +24,6 @@
 var cases = map[string]func(record *Record, trouble bool) ([]string, error){
 	"pipelined": stopWhilePipelined,
 	"growing":   growConfiguration,
-	"storm":     stormConfiguration,
 }
 
 func main() {
@@ -50,7 +52,12 @@
 		broken, err := cases[name](record, trouble)
 		done <- result{broken, err}
 	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
 	select {
+	case <-ended:
+		closeAll()
+		return report(record, nil, errors.New("the case was ended by a signal"))
 	case r := <-done:
 		return report(record, r.broken, r.err)
 	case <-time.After(limit):
--- a/review/stand-2/pipelined.go
+++ b/review/stand-2/pipelined.go
@@ -96,7 +96,7 @@
 	var ended, waiting []*Request
 	for {
 		for len(waiting) < depth && time.Now().Before(over) {
-			r, err := q.Send("/lookup/rates", budget)
+			r, err := q.Send(http.MethodGet, "/lookup/rates", budget)
 			if err != nil {
 				break
 			}
--- a/review/stand-2/requester.go
+++ b/review/stand-2/requester.go
@@ -51,11 +51,11 @@
 // Close closes the connection.
 func (q *Requester) Close() { _ = q.conn.Close() }
 
-// Send sends a GET request with an id of its own.
-func (q *Requester) Send(target string, budget time.Duration) (*Request, error) {
+// Send sends a request without a body and with an id of its own.
+func (q *Requester) Send(method, target string, budget time.Duration) (*Request, error) {
 	r := &Request{ID: fmt.Sprintf("%016x", rand.Uint64()), Target: target, Budget: budget, Sent: time.Now()}
-	q.record.Printf("send id=%s GET %s from=%v", r.ID, target, q.conn.LocalAddr())
-	_, err := fmt.Fprintf(q.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", target, host, r.ID, budget.Milliseconds())
+	q.record.Printf("send id=%s %s %s from=%v", r.ID, method, target, q.conn.LocalAddr())
+	_, err := fmt.Fprintf(q.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", method, target, host, r.ID, budget.Milliseconds())
 	return r, err
 }
 
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -36,7 +36,12 @@
 	born     int64
 	mutex    sync.Mutex
 	sequence int
-	busy     atomic.Int64
+	draining bool
+	ended    bool
+	listener net.Listener
+	// connections are the open ones.
+	connections map[net.Conn]bool
+	busy        atomic.Int64
 }
 
 // Start listens for requests and registers the server.
@@ -46,12 +51,16 @@
 		return err
 	}
 	s.id, s.born = fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli()
+	s.listener, s.connections = l, make(map[net.Conn]bool)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.mutex.Lock()
+			s.connections[c] = true
+			s.mutex.Unlock()
 			go s.serve(c)
 		}
 	}()
@@ -59,22 +68,56 @@
 	return nil
 }
 
+// Exit ends the server, with the requests that run, and removes its registration.
+func (s *Server) Exit() {
+	s.mutex.Lock()
+	s.ended = true
+	_ = s.listener.Close()
+	for c := range s.connections {
+		_ = c.Close()
+	}
+	s.mutex.Unlock()
+	s.store.Remove("servers/" + s.id)
+	s.record.Printf("server %s has left", s.id)
+}
+
 // Register writes the registration of the server to the store.
 func (s *Server) Register() {
 	s.mutex.Lock()
+	if s.ended {
+		s.mutex.Unlock()
+		return
+	}
 	s.sequence++
-	sequence := s.sequence
+	sequence, state := s.sequence, "ready"
+	if s.draining {
+		state = "draining"
+	}
 	s.mutex.Unlock()
 	s.store.Put("servers/"+s.id, map[string]any{
 		"address": s.address, "born": s.born,
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "concurrency": s.slots},
-		"status": map[string]any{"state": "ready", "sequence": sequence, "coldLeftS": 0},
+		"status": map[string]any{"state": state, "sequence": sequence, "coldLeftS": 0},
 	})
 }
 
+// Drain reports that the server is draining. It goes on serving.
+func (s *Server) Drain() {
+	s.mutex.Lock()
+	s.draining = true
+	s.mutex.Unlock()
+	s.Register()
+	s.record.Printf("draining of server %s acknowledged", s.id)
+}
+
 // serve serves the requests of one connection, one at a time.
 func (s *Server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		s.mutex.Lock()
+		delete(s.connections, c)
+		s.mutex.Unlock()
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -82,7 +125,7 @@
 			return
 		}
 		if r.URL.Path == "/healthz" {
-			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", s.id, s.load())
+			_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", s.health(), s.id, s.load())
 		} else {
 			err = s.answer(c, r)
 		}
@@ -95,6 +138,16 @@
 // load returns the numbers of running and waiting requests and of slots.
 func (s *Server) load() string { return fmt.Sprintf("%d,0,%d,100", s.busy.Load(), s.slots) }
 
+// health returns the status of the liveness check.
+func (s *Server) health() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.draining {
+		return "503 Service Unavailable"
+	}
+	return "200 OK"
+}
+
 // answer runs one request, or rejects it if the server is full or not the expected one.
 func (s *Server) answer(c net.Conn, r *http.Request) error {
 	id := r.Header.Get("Request-Id")
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -18,6 +18,8 @@
 	Revision uint64 `json:"revision"`
 	Created  uint64 `json:"created"`
 	Lease    uint64 `json:"lease"`
+	// removed marks the event that a key was removed.
+	removed bool
 }
 
 // Store is a stand-in of the platform's store, as PROTOCOL.md describes it.
@@ -38,6 +40,12 @@
 	at time.Time
 }
 
+// pageItems and pageBytes limit a page of a range: it has one item at least.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 // historyTime is the time for which the store keeps its history.
 const historyTime = 20 * time.Second
 
@@ -63,6 +71,11 @@
 	if err != nil {
 		panic(err)
 	}
+	return s.PutBytes(key, text)
+}
+
+// PutBytes writes a key with any bytes, and returns their number.
+func (s *Store) PutBytes(key string, text []byte) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
@@ -75,6 +88,15 @@
 	return len(text)
 }
 
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.record(item{Key: key, Revision: s.revision, removed: true})
+}
+
 // record adds a change to the history and wakes the watches.
 func (s *Store) record(c item) {
 	s.history = append(s.history, past{item: c, at: time.Now()})
@@ -117,11 +139,13 @@
 	revision := s.revision
 	s.mutex.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	const page = 50
-	more := len(items) > page
-	if more {
-		items = items[:page]
+	size, count := 0, 0
+	for count < len(items) && count < pageItems && (count == 0 || size+len(items[count].Value) <= pageBytes) {
+		size += len(items[count].Value)
+		count++
 	}
+	more := count < len(items)
+	items = items[:count]
 	if items == nil {
 		items = []item{}
 	}
@@ -148,6 +172,10 @@
 			if c.Revision <= after || !strings.HasPrefix(c.Key, q.Get("pathPrefix")) {
 				continue
 			}
+			if c.removed {
+				events = append(events, map[string]any{"key": c.Key, "revision": c.Revision, "removed": true})
+				continue
+			}
 			events = append(events, c.item)
 		}
 		s.mutex.Unlock()
