test: review case 8, a storm of changes stops the configuration

Cause: all versions since the last read come in one answer of the watch. Above 4 MiB the read fails, and the next one asks for the same and more, until the history has gone from the store.

Change: the case with its script.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(record *Record, trouble bool) ([]string, error){
 	"pipelined": stopWhilePipelined,
 	"growing":   growConfiguration,
+	"storm":     stormConfiguration,
 }
 
 func main() {
