test: review case 9, unreadable entries hide that a server drains

Cause: the changes of the registrations since the last read come in one answer of the watch. Above 4 MiB the read fails, and the list itself is not read in its place.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,6 +25,7 @@
 	"pipelined": stopWhilePipelined,
 	"growing":   growConfiguration,
 	"storm":     stormConfiguration,
+	"foreign":   drainBesideForeign,
 }
 
 func main() {
