fix(io/intake): a request that is refused for room is not handed to the server

What callers saw: 503 for a request that ran half a second later, so that a claim which its caller sent once more could run twice.

Cause: readHead returned the bytes of a complete head together with the error of its refusal. The server of net/http uses the bytes before it looks at the error, and called the handler.

Evidence: the existing test TestRequestWithoutRoomIsRefused with a second look at the count a second later: 2 requests reached the handler in place of 1. It looked before the server went on.

Change: readHead returns no bytes beside an error, as the other reads did already.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -179,7 +179,10 @@
 		if c.scanner.Complete() {
 			c.putBack(p[filled+taken : filled+n])
 			filled += taken
-			return filled, c.accept(filled)
+			if err := c.accept(filled); err != nil {
+				return 0, err
+			}
+			return filled, nil
 		}
 		filled += n
 		c.awaitHead()
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -383,6 +383,34 @@
 	s.waitUnused(t)
 }
 
+// TestRefusedRequestNeverRuns guards against a request that is refused for lack of room and then handed
+// to the handler all the same.
+func TestRefusedRequestNeverRuns(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	s := newSite(t, 100<<10, options, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	text := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", 400) + "Connection: close\r\n\r\n"
+	_, err := io.WriteString(s.dial(t), text)
+	c.Assert(err, qt.IsNil)
+	for s.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	refused := s.dial(t)
+	_, err = io.WriteString(refused, text)
+	c.Assert(err, qt.IsNil)
+	answer, err := io.ReadAll(refused)
+	c.Assert(err, qt.IsNil)
+	c.Check(bodiesOf(t, string(answer)), qt.Equals, "[503 503 Service Unavailable]")
+	c.Assert(refused.Close(), qt.IsNil)
+	// The server has closed the connection, or runs the request.
+	for _, open := s.intake.Usage(); open > 1 && s.requests.Load() == 1; _, open = s.intake.Usage() {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(s.requests.Load(), qt.Equals, int64(1))
+	close(release)
+	s.waitUnused(t)
+}
+
 func TestDeferredRefusalIsAnError(t *testing.T) {
 	c := qt.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
