fix(io/intake): close connections in two stages

Cause: the close of a connection was passed on to the socket. Closing a socket with unread bytes resets the connection and discards what is still to be sent. Requests behind the response that closes the connection are such bytes, as is the rest of a rejected body. Ruled out by the times: the end of the process (0.8 s after the cuts) and TCP_USER_TIMEOUT (2.5 s).

Change: after the last request, or while something is unacknowledged, only the sending direction is closed; the rest follows when the client has closed its side or has acknowledged everything, within 5 s (RFC 9112, 9.6). This replaces the close of refusals. A process that stops waits for it. Related paths: an idle connection that a stop closes while its last response is being delivered, and responses of a crowded listener.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -460,6 +460,7 @@
 			d.logger.Error("shutdown", "error", err)
 		}
 	}
+	d.intake.Wait()
 	_ = d.control.Close()
 	d.datagrams.Close()
 	d.background.Stop()
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -35,9 +35,13 @@
 	// ahead holds bytes that were received and not passed on, of which ready may be passed on.
 	ahead []byte
 	ready int
-	// served reports that a head was complete before, active that the last request with a complete
-	// head may still be handled, and begun that a part of the next head was received.
-	served, active, begun bool
+	// served reports that a head was complete before, and begun that a part of the next head was
+	// received.
+	served, begun bool
+	// active reports that the last request may still be handled, or that it was refused.
+	active atomic.Bool
+	// closing reports that Close was called.
+	closing atomic.Bool
 	// form is the charge of the head once it is parsed, body the number of bytes received of a body
 	// that is buffered, and buffering reports that it isn't complete.
 	form, body int64
@@ -72,12 +76,6 @@
 	return shed.Holding{State: shed.State(c.state.Load()), Bytes: c.held.Load(), Since: time.Unix(0, c.since.Load())}
 }
 
-// Close closes the connection and releases what it holds.
-func (c *conn) Close() error {
-	c.listener.intake.release(c)
-	return c.TCPConn.Close()
-}
-
 // enter notes a new state of the connection.
 func (c *conn) enter(s shed.State, since int64) {
 	c.since.Store(since)
@@ -89,7 +87,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	switch {
 	case c.scanner == nil:
-		return c.TCPConn.Read(p)
+		return c.receive(p)
 	case c.failed != nil:
 		return 0, c.failed
 	case c.ready > 0:
@@ -117,7 +115,11 @@
 // receive reads from the connection, or takes bytes that were received before.
 func (c *conn) receive(p []byte) (int, error) {
 	if len(c.ahead) == 0 {
-		return c.TCPConn.Read(p)
+		n, err := c.TCPConn.Read(p)
+		if c.closing.Load() {
+			return 0, net.ErrClosed
+		}
+		return n, err
 	}
 	n := copy(p, c.ahead)
 	c.dropAhead(n)
@@ -228,10 +230,9 @@
 
 // endRequest releases what the last request has held, once.
 func (c *conn) endRequest() error {
-	if !c.active {
+	if !c.active.Swap(false) {
 		return nil
 	}
-	c.active = false
 	c.form, c.body, c.buffering = 0, 0, false
 	c.enter(shed.Kept, 0)
 	return c.settle()
@@ -254,7 +255,8 @@
 // accept notes that a head is complete and charges what it takes once it is parsed. The argument is
 // the number of bytes of the request that were received.
 func (c *conn) accept(received int) error {
-	c.served, c.active, c.begun = true, true, false
+	c.served, c.begun = true, false
+	c.active.Store(true)
 	h := c.scanner.Head()
 	c.form = int64(max(h.Fields-freeFields, 0)*fieldCost + max(h.Size-freeBytes, 0))
 	buffer := c.listener.options.Buffer
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -81,8 +81,10 @@
 	holders map[*conn]struct{}
 	// doomed is the part of held that belongs to connections which were closed to make room. Their
 	// servers still hold it for a moment.
-	doomed    int64
-	open      int
+	doomed int64
+	open   int
+	// lingering is the number of connections that are closed for writing only.
+	lingering int
 	listeners []*Listener
 	reasons   map[event]*tracker
 }
--- a/io/intake/refuse.go
+++ b/io/intake/refuse.go
@@ -10,16 +10,8 @@
 	"bulrushlock/io/frame"
 )
 
-const (
-	// answerTimeout limits the time for sending the answer to an invalid request.
-	answerTimeout = time.Second
-	// lingerTimeout and lingerBytes limit what is read after the answer, so that the client gets the
-	// answer and not a reset.
-	lingerTimeout = 500 * time.Millisecond
-	lingerBytes   = 256 << 10
-	// lingerBuffer is the size in bytes of the buffer for that.
-	lingerBuffer = 1 << 10
-)
+// answerTimeout limits the time for sending the answer to an invalid request.
+const answerTimeout = time.Second
 
 // fail makes all further reads fail with err. The server of net/http answers nothing to an error of
 // this type.
@@ -44,29 +36,11 @@
 	_ = c.settle()
 	text := fmt.Sprintf("%d %s", invalid.Status, http.StatusText(invalid.Status))
 	_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
-	_, err = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, len(text), text)
-	if err == nil {
-		c.linger()
-	}
+	_, _ = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, len(text), text)
+	c.active.Store(true)
 	return failed
 }
 
-// linger ends the sending direction and discards what the client sends for a short time.
-func (c *conn) linger() {
-	if c.CloseWrite() != nil {
-		return
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	var discarded [lingerBuffer]byte
-	for total := 0; total < lingerBytes; {
-		n, err := c.TCPConn.Read(discarded[:])
-		if err != nil {
-			return
-		}
-		total += n
-	}
-}
-
 // failBody fails a body that can't be read. The handler answers while it buffers the body. Later on
 // a response may have begun, and the connection is closed.
 func (c *conn) failBody(err error) error {
--- a/io/sock/refuse.go
+++ b/io/sock/refuse.go
@@ -67,9 +67,9 @@
 	return int(info.Unacked), nil
 }
 
-// control calls f with the file descriptor of l.
-func control(l *net.TCPListener, f func(fd int) error) error {
-	raw, err := l.SyscallConn()
+// control calls f with the file descriptor of c.
+func control(c syscall.Conn, f func(fd int) error) error {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -132,6 +132,57 @@
 	c.Check(s.waitExit(0), qt.Equals, 0)
 }
 
+// TestLeavingNodeDeliversResponsesBeforePipelinedRequests guards against a planned stop that cuts off a
+// response because a further request on its connection has not been read.
+func TestLeavingNodeDeliversResponsesBeforePipelinedRequests(t *testing.T) {
+	s := newSystem(t, options{drain: "1s"})
+	c := s.c
+	s.warmUp()
+	const size = 30_000
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	var callers []net.Conn
+	for range 8 {
+		conn, err := dialer.Dial("tcp", s.instances[0].callers.String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		c.Assert(conn.SetDeadline(time.Now().Add(maxWait)), qt.IsNil)
+		callers = append(callers, conn)
+	}
+	send := func(order int) {
+		for i, conn := range callers {
+			_, err := fmt.Fprintf(conn, "GET /exports/a?size=%d&pace=400ms HTTP/1.1\r\nHost: a\r\nId: %d-%d\r\n\r\n", size, order, i)
+			c.Assert(err, qt.IsNil)
+		}
+	}
+	send(0)
+	time.Sleep(20 * time.Millisecond)
+	send(1)
+	s.instances[0].node.signal(c, syscall.SIGTERM)
+	// The third request arrives while the second is being handled, whose response closes the connection.
+	// The node is done with both before the callers read.
+	time.Sleep(600 * time.Millisecond)
+	send(2)
+	time.Sleep(600 * time.Millisecond)
+	send(3)
+	for i, conn := range callers {
+		reader := bufio.NewReader(conn)
+		for order := range 2 {
+			r, err := http.ReadResponse(reader, nil)
+			c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(r.Body)
+			c.Check(err, qt.IsNil, qt.Commentf("connection %d", i))
+			want, err := io.ReadAll(fake.Export(fmt.Sprintf("%d-%d", order, i), size))
+			c.Assert(err, qt.IsNil)
+			c.Check(string(body) == string(want), qt.IsTrue, qt.Commentf("connection %d: %d bytes", i, len(body)))
+			c.Check(r.Close, qt.Equals, order == 1)
+		}
+		c.Check(conn.Close(), qt.IsNil)
+	}
+	c.Check(s.waitExit(0), qt.Equals, 0)
+}
+
 // roundTrip sends a lookup on a connection and reads the whole response.
 func roundTrip(conn net.Conn) error {
 	if _, err := io.WriteString(conn, "GET /claims/kept HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
