fix(io/pool): a status that is none of HTTP ends the exchange

Cause: every status below 200 but 101 was taken for an interim response, and all others were passed on.

Change: a status outside of 100 to 599, and 101, which nobody asks for, is an answer that breaks off. This is the way of all requests to backend servers and to other nodes.

--- a/io/front/broken_test.go
+++ b/io/front/broken_test.go
@@ -83,10 +83,14 @@
 	}
 }
 
-// forEachTarget calls check with the result of a lookup and of a claim, each over one node and over
-// two, at a backend server that sends r.
+// forEachTarget calls check with the result of each request of sendToEach, at a backend server that
+// sends r.
 func forEachTarget(c *qt.C, r brokenResponse, check func(c *qt.C, response *http.Response, err error, target string)) {
-	server := startBrokenServer(c, r)
+	sendToEach(c, startBrokenServer(c, r), check)
+}
+
+// sendToEach calls check with the result of a lookup and of a claim, each over one node and over two.
+func sendToEach(c *qt.C, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
 	one := newTestNode(c, "filing-1", server, netip.AddrPort{})
 	two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
 	for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -109,6 +109,24 @@
 // Error describes the fault.
 func (*MismatchError) Error() string { return "responses belong to other requests" }
 
+// StatusError reports a response whose status is none of HTTP (RFC 9110, 15), or a change of the
+// protocol that the request didn't ask for.
+type StatusError struct{ Status int }
+
+// Error describes the fault.
+func (e *StatusError) Error() string { return fmt.Sprintf("invalid status %03d", e.Status) }
+
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
+// isInterim reports whether a response precedes the final one. It fails with a *StatusError.
+func isInterim(a *http.Response) (bool, error) {
+	if a.StatusCode < http.StatusContinue || a.StatusCode > maxStatus || a.StatusCode == http.StatusSwitchingProtocols {
+		return false, &StatusError{Status: a.StatusCode}
+	}
+	return a.StatusCode < http.StatusOK, nil
+}
+
 // New returns a transport that makes connections with d.
 func New(d Dialer, o Options) *Transport {
 	return &Transport{dialer: d, options: o, idle: make(map[string][]*conn)}
@@ -274,7 +292,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		interim, err := isInterim(response)
+		if err != nil {
+			return nil, err
+		}
+		if interim {
 			c.signalContinue()
 			continue
 		}
