--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -176,6 +176,7 @@
 			want, err := io.ReadAll(fake.Export(fmt.Sprintf("%d-%d", order, i), size))
 			c.Assert(err, qt.IsNil)
 			c.Check(string(body) == string(want), qt.IsTrue, qt.Commentf("connection %d: %d bytes", i, len(body)))
+			c.Check(r.Body.Close(), qt.IsNil)
 			c.Check(r.Close, qt.Equals, order == 1)
 		}
 		c.Check(conn.Close(), qt.IsNil)
