--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -258,7 +258,9 @@
 type FetchDocument struct {
 	Document event.Document
 	// Peer is the instance to read from, or nil for the platform.
-	Peer  *fleet.Instance
+	Peer *fleet.Instance
+	// Epoch and After are the epoch and the revision of the document that the node holds.
+	Epoch uint64
 	After uint64
 	// MaxHold is the maximum time that the platform may hold the call; 0 requests an immediate response.
 	MaxHold time.Duration
@@ -286,14 +288,16 @@
 
 // The kinds of events in the event log.
 const (
-	KindStart        Kind = "start"
-	KindRules        Kind = "rules"
-	KindInvalid      Kind = "invalid"
-	KindFleet        Kind = "fleet"
-	KindBehind       Kind = "behind"
-	KindUnread       Kind = "unread"
-	KindLost         Kind = "lost"
-	KindRegained     Kind = "regained"
+	KindStart    Kind = "start"
+	KindRules    Kind = "rules"
+	KindInvalid  Kind = "invalid"
+	KindFleet    Kind = "fleet"
+	KindBehind   Kind = "behind"
+	KindUnread   Kind = "unread"
+	KindLost     Kind = "lost"
+	KindRegained Kind = "regained"
+	// KindEpoch is a platform that came back from an older copy of its data.
+	KindEpoch        Kind = "epoch"
 	KindStale        Kind = "old"
 	KindFresh        Kind = "fresh"
 	KindPaused       Kind = "pause"
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -89,7 +89,10 @@
 	Document  Document
 	From      DocumentSource
 	Text      string
-	Revision  uint64
+	// Edition, Epoch and Revision are those of a view.Version.
+	Edition  uint64
+	Epoch    uint64
+	Revision uint64
 	// MayBeStale is set if the document may be a few seconds stale.
 	MayBeStale bool
 }
@@ -97,6 +100,11 @@
 // Time returns the time of the event.
 func (e DocumentRead) Time() time.Time { return e.At }
 
+// Version returns the version of the document, without a digest.
+func (e DocumentRead) Version() view.Version {
+	return view.Version{Edition: e.Edition, Epoch: e.Epoch, Revision: e.Revision}
+}
+
 // DocumentUnchanged reports that the source holds no newer document than this node.
 type DocumentUnchanged struct {
 	At time.Time
@@ -104,6 +112,8 @@
 	QueriedAt time.Time
 	Document  Document
 	From      DocumentSource
+	// Epoch is the one for which the source was asked.
+	Epoch uint64
 	// Revision is a revision at which this was true, or 0 if the source does not report one.
 	Revision uint64
 }
--- a/core/gossip/contact_test.go
+++ b/core/gossip/contact_test.go
@@ -93,6 +93,8 @@
 	prefersHome bool
 	// crossed is the number of documents that were fetched from another data centre.
 	crossed int
+	// copies replaces the platform, unless it is nil.
+	copies *copyingPlatform
 }
 
 // delivery is something that happens at a time.
@@ -266,6 +268,10 @@
 
 // read serves a read of the platform by a node.
 func (f *contactFleet) read(node int, e effect.FetchDocument) {
+	if f.copies != nil {
+		f.copies.read(f, node, e)
+		return
+	}
 	if f.accessOf(node, f.now.Add(1)) == refused {
 		f.onNode(node, hop, func(g *gossip.Gossip) []effect.Effect { return f.readFailed(g, e) })
 		return
@@ -344,14 +350,14 @@
 		return
 	}
 	f.onNode(node, 2*hop, func(g *gossip.Gossip) []effect.Effect {
-		text, revision := f.nodes[peer].Text(e.Document)
-		if revision == 0 {
+		text, v := f.nodes[peer].Text(e.Document)
+		if v.Revision == 0 {
 			return f.readFailed(g, e)
 		}
 		if f.instances[peer].Centre != f.instances[node].Centre {
 			f.crossed++
 		}
-		_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Revision: revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
+		_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Edition: v.Edition, Epoch: v.Epoch, Revision: v.Revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 		return out
 	})
 }
@@ -407,6 +413,9 @@
 
 // late returns the first node in contact without the rules that it must hold.
 func (f *contactFleet) late() string {
+	if f.copies != nil {
+		return f.copies.late(f)
+	}
 	bound := rulesBound
 	if !f.isStable() {
 		bound = unstableBound
@@ -416,8 +425,8 @@
 		if !f.isInContact(i) {
 			continue
 		}
-		if _, revision := g.Text(event.Rules); revision < due {
-			return fmt.Sprintf("node %d at %v: revision %d, rules of revision %d were published %v earlier or more", i, f.now.Sub(contactStart), revision, due, bound)
+		if _, v := g.Text(event.Rules); v.Revision < due {
+			return fmt.Sprintf("node %d at %v: revision %d, rules of revision %d were published %v earlier or more", i, f.now.Sub(contactStart), v.Revision, due, bound)
 		}
 	}
 	return ""
--- a/core/gossip/freshness.go
+++ b/core/gossip/freshness.go
@@ -101,7 +101,8 @@
 	g.freshness.pauseCheckedAt = at
 	before := len(out)
 	g.reads[event.Rules].startRead(at)
-	out = append(out, effect.FetchDocument{Document: event.Rules, After: g.rules.Version().Revision})
+	held := g.rules.Version()
+	out = append(out, effect.FetchDocument{Document: event.Rules, Epoch: held.Epoch, After: held.Revision})
 	out = g.exchangeVersions(at, random, checkFanout, out)
 	g.freshness.pendingResponses = len(out) - before
 	return out
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -105,6 +105,11 @@
 	Freshness bool
 }
 
+// or returns the union of two changes.
+func (c Change) or(o Change) Change {
+	return Change{Rules: c.Rules || o.Rules, Fleet: c.Fleet || o.Fleet, Freshness: c.Freshness || o.Freshness}
+}
+
 // Gossip holds the views of one node. It is not safe for concurrent use.
 type Gossip struct {
 	instance string
@@ -128,6 +133,7 @@
 	instances        []fleet.Instance
 	keepMissingUntil time.Time
 	home             homeState
+	recovery         recoveryState
 }
 
 // New returns the empty views of the node of the given instance in the given data centre.
@@ -137,11 +143,12 @@
 		centre:   centre,
 		rules:    view.New(rules.Parse),
 		fleet:    view.New(fleet.Parse),
+		recovery: newRecoveryState(),
 	}
 }
 
 // Rules returns the rules in force; ok is false if there are none yet.
-func (g *Gossip) Rules() (s *rules.Set, ok bool) { return g.rules.Value() }
+func (g *Gossip) Rules() (s *rules.Set, ok bool) { return g.recovery.rules, g.recovery.rules != nil }
 
 // Fleet returns the instance list; ok is false if there is none yet.
 func (g *Gossip) Fleet() (instances []fleet.Instance, ok bool) {
@@ -149,12 +156,12 @@
 	return g.instances, ok
 }
 
-// Text returns the text and the revision of a document, for a peer that fetches it.
-func (g *Gossip) Text(d event.Document) (text string, revision uint64) {
+// Text returns the text and the version of a document, for a peer that fetches it.
+func (g *Gossip) Text(d event.Document) (text string, v view.Version) {
 	if d == event.Fleet {
-		return g.fleet.Text(), g.fleet.Version().Revision
+		return g.fleet.Text(), g.fleet.Version()
 	}
-	return g.rules.Text(), g.rules.Version().Revision
+	return g.rules.Text(), g.rules.Version()
 }
 
 // Versions returns the versions and ages of the documents that this node holds.
@@ -205,7 +212,7 @@
 	if change.Fleet {
 		kind = effect.KindFleet
 	}
-	text := fmt.Sprintf("revision %d from %s", e.Revision, sourceName(e.From))
+	text := fmt.Sprintf("%s from %s", versionName(e.Version()), sourceName(e.From))
 	if e.MayBeStale {
 		text += ", may be stale"
 	}
@@ -215,6 +222,14 @@
 	return change, g.announceNewVersion(e.At, e.From, random, out)
 }
 
+// versionName returns the revision of a version, and its epoch if the platform tells it.
+func versionName(v view.Version) string {
+	if v.Epoch == 0 {
+		return fmt.Sprintf("revision %d", v.Revision)
+	}
+	return fmt.Sprintf("revision %d of epoch %d", v.Revision, v.Epoch)
+}
+
 // sourceName returns the name of a source for the event log.
 func sourceName(s event.DocumentSource) string {
 	if s.Peer == "" {
@@ -228,7 +243,7 @@
 func (g *Gossip) applyFleet(at time.Time, age time.Duration) {
 	listed, _ := g.fleet.Value()
 	before := g.instances
-	g.instances = listed
+	g.instances = g.recoveredFleet(at, listed, before)
 	g.keepMissingUntil = time.Time{}
 	if age > outageAge && len(before) > 0 {
 		g.retainUnlisted(at, before)
@@ -295,6 +310,7 @@
 		g.applyFleet(e.At, 0)
 		change.Fleet = true
 	}
+	change = change.or(g.expireRecovery(e.At))
 	for d := range event.Document(documentCount) {
 		out = g.readIfDue(d, e, out)
 	}
--- a/core/gossip/home_test.go
+++ b/core/gossip/home_test.go
@@ -72,8 +72,8 @@
 	f.published = append(f.published, f.now.Add(time.Second))
 	qt.Check(t, f.advance(f.now.Add(5*time.Second)), qt.Equals, "")
 	for _, g := range f.nodes {
-		_, revision := g.Text(event.Rules)
+		_, v := g.Text(event.Rules)
 		_, _, want := f.rulesAt(f.now)
-		qt.Check(t, revision >= want, qt.IsTrue)
+		qt.Check(t, v.Revision >= want, qt.IsTrue)
 	}
 }
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -73,7 +73,8 @@
 		return out
 	}
 	r.startRead(at)
-	f := effect.FetchDocument{Document: d, After: g.version(d).Revision}
+	held := g.version(d)
+	f := effect.FetchDocument{Document: d, Epoch: held.Epoch, After: held.Revision}
 	switch {
 	case g.acceptsStale(d, at):
 		f.AllowStale = true
@@ -247,6 +248,13 @@
 // DocumentRead handles a document that was read. The version of a new document is announced to
 // peers; an invalid or older document delays the next read.
 func (g *Gossip) DocumentRead(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
+	change, out := g.takeDocument(e, random, out)
+	followed, out := g.followEpoch(e.At, out)
+	return change.or(followed), out
+}
+
+// takeDocument offers a document that was read to the view of its kind.
+func (g *Gossip) takeDocument(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
 	out = g.recordReadable(e.At, e.Document, e.From, out)
 	g.finishRead(e.Document, e.From)
 	verdict, err := g.offer(e)
@@ -279,8 +287,9 @@
 // one of e, is known to be invalid.
 func (g *Gossip) skipInvalid(e event.DocumentRead, out []effect.Effect) (Change, []effect.Effect) {
 	r := &g.reads[e.Document]
-	held := g.version(e.Document).Revision
-	if held == 0 {
+	version := g.version(e.Document)
+	held := version.Revision
+	if held == 0 || e.Epoch != version.Epoch {
 		return Change{}, out
 	}
 	if e.Revision == max(held, r.skippedRevision)+1 {
@@ -296,13 +305,17 @@
 func (g *Gossip) offer(e event.DocumentRead) (view.Verdict, error) {
 	if e.Document == event.Fleet {
 		age := g.FleetAge(e.At)
-		v, err := g.fleet.Offer(e.Text, e.Revision, e.At)
+		v, err := g.fleet.Offer(e.Text, e.Version(), e.At)
 		if v == view.Accepted {
 			g.applyFleet(e.At, age)
 		}
 		return v, err
 	}
-	return g.rules.Offer(e.Text, e.Revision, e.At)
+	v, err := g.offerRules(e)
+	if v == view.Accepted {
+		g.applyRules(e.At)
+	}
+	return v, err
 }
 
 // logInvalid counts an invalid document and logs it the first time its revision is read.
@@ -328,10 +341,13 @@
 func (g *Gossip) DocumentUnchanged(e event.DocumentUnchanged, out []effect.Effect) (Change, []effect.Effect) {
 	out = g.recordReadable(e.At, e.Document, e.From, out)
 	g.finishRead(e.Document, e.From)
+	advance := g.rules.AdvanceRevision
 	if e.Document == event.Fleet {
-		g.fleet.AdvanceRevision(e.Revision)
-	} else {
-		g.rules.AdvanceRevision(e.Revision)
+		advance = g.fleet.AdvanceRevision
+	}
+	if !advance(e.Epoch, e.Revision) {
+		// A peer told of a newer epoch while the read was under way.
+		return Change{Freshness: g.freshness.fail()}, out
 	}
 	return g.confirmFromPlatform(event.DocumentRead{At: e.At, QueriedAt: e.QueriedAt, Document: e.Document, From: e.From}, out)
 }
@@ -425,9 +441,9 @@
 		age = g.FleetAge(at)
 	}
 	if age == view.UnknownAge {
-		return fmt.Sprintf("holds revision %d, never confirmed", g.version(d).Revision)
+		return fmt.Sprintf("holds %s, never confirmed", versionName(g.version(d)))
 	}
-	return fmt.Sprintf("holds revision %d, confirmed %v ago", g.version(d).Revision, age.Round(time.Millisecond))
+	return fmt.Sprintf("holds %s, confirmed %v ago", versionName(g.version(d)), age.Round(time.Millisecond))
 }
 
 // finishRead clears the pending read of the platform or of a peer.
--- a/core/gossip/start_test.go
+++ b/core/gossip/start_test.go
@@ -146,8 +146,8 @@
 					g.DocumentReadFailed(event.DocumentReadFailed{At: f.now, Document: e.Document, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 					return
 				}
-				text, revision := f.nodes[peer].Text(e.Document)
-				_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Revision: revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
+				text, v := f.nodes[peer].Text(e.Document)
+				_, out := g.DocumentRead(event.DocumentRead{At: f.now, Document: e.Document, Text: text, Revision: v.Revision, From: event.DocumentSource{Peer: e.Peer.Name}}, f.random.Uint64(), nil)
 				f.run(node, out)
 			})
 		case effect.BroadcastVersions:
--- a/core/gossip/versions.go
+++ b/core/gossip/versions.go
@@ -54,6 +54,13 @@
 // confirm the view. A queried peer that holds no newer rules and does not confirm those of this
 // node counts as a failure of the check.
 func (g *Gossip) VersionsReceived(e event.VersionsReceived, out []effect.Effect) (Change, []effect.Effect) {
+	change, out := g.compareVersions(e, out)
+	followed, out := g.followEpoch(e.At, out)
+	return change.or(followed), out
+}
+
+// compareVersions compares the versions that a peer sent with those of this node.
+func (g *Gossip) compareVersions(e event.VersionsReceived, out []effect.Effect) (Change, []effect.Effect) {
 	g.heardAt = e.At
 	p := g.sender(e)
 	if g.fleet.NeedsFetch(e.Versions.Fleet) {
@@ -157,8 +164,9 @@
 		return out
 	}
 	r.requested, r.requestedAt = v, at
-	out = append(out, effect.LogEvent{Kind: effect.KindBehind, Text: fmt.Sprintf("%s revision %d announced by %s; %s", d, v.Revision, p.Name, g.heldText(at, d))})
-	return append(out, effect.FetchDocument{Document: d, Peer: p, After: g.version(d).Revision})
+	out = append(out, effect.LogEvent{Kind: effect.KindBehind, Text: fmt.Sprintf("%s %s announced by %s; %s", d, versionName(v), p.Name, g.heldText(at, d))})
+	held := g.version(d)
+	return append(out, effect.FetchDocument{Document: d, Peer: p, Epoch: held.Epoch, After: held.Revision})
 }
 
 // fetchFromAlternate requests from the second peer what the first one did not deliver.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,7 @@
 	"bulrushlock/core/report"
 	"bulrushlock/core/rules"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
 )
 
 const (
@@ -372,7 +373,7 @@
 func (n *Node) Versions(at time.Time) event.Versions { return n.gossip.Versions(at) }
 
 // Text returns the text and the revision of a document that the node holds.
-func (n *Node) Text(d event.Document) (text string, revision uint64) { return n.gossip.Text(d) }
+func (n *Node) Text(d event.Document) (text string, v view.Version) { return n.gossip.Text(d) }
 
 // Load returns the load report that the guard adds to its responses at the given time.
 func (n *Node) Load(at time.Time) report.Load { return n.guard.Load(at) }
--- a/core/node/views.go
+++ b/core/node/views.go
@@ -54,7 +54,7 @@
 
 // follows reports whether v equals old or is the next revision after it.
 func follows(old, v view.Version) bool {
-	return v == old || v.Revision == old.Revision+1
+	return v == old || v.Epoch == old.Epoch && v.Revision == old.Revision+1
 }
 
 // apply passes a change of the views on to the entry and the guard.
--- a/core/prop/effects_test.go
+++ b/core/prop/effects_test.go
@@ -314,8 +314,8 @@
 		from.Peer = e.Peer.Name
 		g = sm.processAt(e.Peer.ControlAddr.Addr())
 		read = func() (string, uint64, bool) {
-			text, revision := g.reducer.Text(e.Document)
-			return text, revision, true
+			text, v := g.reducer.Text(e.Document)
+			return text, v.Revision, true
 		}
 	}
 	lose := func() {
--- a/core/rules/lookup.go
+++ b/core/rules/lookup.go
@@ -66,6 +66,14 @@
 	return x
 }
 
+// WithCentresOut returns a copy of s in which exactly the given data centres are out of service.
+func (s *Set) WithCentresOut(out []OutOfService) *Set {
+	c := *s
+	c.CentresOut = out
+	c.index = newIndex(&c)
+	return &c
+}
+
 // addRoute adds the route r, which is at position i of the Set.
 func (x *index) addRoute(r Route, i int) {
 	x.uploads = x.uploads || r.Upload
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -3,10 +3,14 @@
 // Nodes that are offered the same versions in any order converge on the same one. A view never
 // returns to an older version. A View is not safe for concurrent use.
 //
+// Load pattern: the platform comes back from a copy of its data that is some seconds old, and gives
+// out the revisions since then once more for other changes. Its epoch tells them apart. What the copy
+// holds may be older than what was in force, which the edition tells.
+//
 // # Usage
 //
 //	v := view.New(rules.Parse)
-//	verdict, err := v.Offer(text, revision, now)
+//	verdict, err := v.Offer(text, view.Version{Epoch: epoch, Revision: revision}, now)
 //	if verdict == view.Invalid {
 //		return err // a *view.InvalidError
 //	}
@@ -34,17 +38,39 @@
 
 // Version identifies one text of a document.
 type Version struct {
+	// Edition is the number that the author of the document counts up, or 0 if it isn't known.
+	Edition uint64
+	// Epoch counts how often the platform came back from an older copy, after which it gives out
+	// revisions once more. It is 0 if the platform doesn't tell.
+	Epoch    uint64
 	Revision uint64
 	// Digest is the hash of the text. It orders texts of the same revision.
 	Digest uint64
 }
 
 // Compare returns a negative number if v is older than o, zero if they are equal and a
-// positive number if v is newer than o.
+// positive number if v is newer than o. The edition comes first: in a copy of the platform's data, an
+// older one has a newer epoch.
 func (v Version) Compare(o Version) int {
-	return cmp.Or(cmp.Compare(v.Revision, o.Revision), cmp.Compare(v.Digest, o.Digest))
+	return cmp.Or(v.compareEdition(o), v.CompareRevision(o), cmp.Compare(v.Edition, o.Edition), cmp.Compare(v.Digest, o.Digest))
+}
+
+// compareEdition compares two editions if both are known, as nodes of an older build don't tell them.
+func (v Version) compareEdition(o Version) int {
+	if v.Edition == 0 || o.Edition == 0 {
+		return 0
+	}
+	return cmp.Compare(v.Edition, o.Edition)
+}
+
+// CompareRevision compares the places of two versions in the history of the platform.
+func (v Version) CompareRevision(o Version) int {
+	return cmp.Or(cmp.Compare(v.Epoch, o.Epoch), cmp.Compare(v.Revision, o.Revision))
 }
 
+// IsOlderEdition reports whether v is known to be an older edition than o.
+func (v Version) IsOlderEdition(o Version) bool { return v.compareEdition(o) < 0 }
+
 // Verdict is the result of offering a text.
 type Verdict uint8
 
@@ -105,10 +131,11 @@
 }
 
 // Offer replaces the held text if the offered one is newer and valid. The held text under a
-// newer revision is Known, and the view adopts that revision. Offer returns an *InvalidError
-// if and only if the verdict is Invalid; it then keeps the held text.
-func (v *View[T]) Offer(text string, revision uint64, now time.Time) (Verdict, error) {
-	offered := Version{Revision: revision, Digest: xxhash.Sum64String(text)}
+// newer version is Known, and the view adopts that version. The digest of the offered version is
+// that of text. Offer returns an *InvalidError if and only if the verdict is Invalid; it then keeps
+// the held text.
+func (v *View[T]) Offer(text string, offered Version, now time.Time) (Verdict, error) {
+	offered.Digest = xxhash.Sum64String(text)
 	if v.held {
 		switch c := offered.Compare(v.version); {
 		case c == 0:
@@ -116,7 +143,7 @@
 		case c < 0:
 			return Older, nil
 		case offered.Digest == v.version.Digest:
-			v.version = offered
+			v.adopt(offered)
 			return Known, nil
 		}
 	}
@@ -182,20 +209,31 @@
 }
 
 // AdoptIfSameText reports whether the view holds the text of a version that a peer announced. If it
-// does and the announced revision is newer, the view adopts that revision.
+// does and the announced version is newer, the view adopts that version.
 func (v *View[T]) AdoptIfSameText(o Version) bool {
 	if !v.held || o.Digest != v.version.Digest {
 		return false
 	}
-	v.version.Revision = max(v.version.Revision, o.Revision)
+	v.adopt(o)
 	return true
 }
 
-// AdvanceRevision records that the held text is also the text of a later revision.
-func (v *View[T]) AdvanceRevision(revision uint64) {
-	if v.held {
+// adopt records that the held text is also that of version o.
+func (v *View[T]) adopt(o Version) {
+	edition := max(v.version.Edition, o.Edition)
+	if o.CompareRevision(v.version) > 0 {
+		v.version = o
+	}
+	v.version.Edition = edition
+}
+
+// AdvanceRevision records that the held text is also the text of a later revision of an epoch. It
+// reports false for another epoch than that of the held text, whose revisions can't be compared.
+func (v *View[T]) AdvanceRevision(epoch, revision uint64) bool {
+	if v.held && epoch == v.version.Epoch {
 		v.version.Revision = max(v.version.Revision, revision)
 	}
+	return epoch == v.version.Epoch
 }
 
 // NeedsFetch reports whether a version that a peer announced is worth fetching: it is newer, has
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -15,6 +15,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/node"
+	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
 )
 
@@ -37,6 +38,10 @@
 	Service     string `json:"service"`
 	Rules       uint64 `json:"rules"`
 	Fleet       uint64 `json:"fleet"`
+	// Epoch counts how often the platform came back from an older copy, and Edition is the author's
+	// number of the rules; 0 if unknown.
+	Epoch   uint64 `json:"epoch,omitempty"`
+	Edition uint64 `json:"edition,omitempty"`
 	// Age is the time in milliseconds since the rules were last known to be current.
 	Age         int64  `json:"age"`
 	Freshness   string `json:"trust"`
@@ -89,6 +94,8 @@
 		Centre:      s.Config.Centre,
 		Service:     s.Config.Service,
 		Rules:       s.Versions.Rules.Revision,
+		Epoch:       max(s.Versions.Rules.Epoch, s.Versions.Fleet.Epoch),
+		Edition:     s.Versions.Rules.Edition,
 		Fleet:       s.Versions.Fleet.Revision,
 		Age:         s.Versions.Age.Milliseconds(),
 		Freshness:   s.Freshness.String(),
@@ -131,10 +138,10 @@
 // writeDocument writes a document, and its revision as a header.
 func (h *Handler) writeDocument(w http.ResponseWriter, d event.Document) {
 	var text string
-	var revision uint64
-	h.loop.View(func(n *node.Node) { text, revision = n.Text(d) })
+	var v view.Version
+	h.loop.View(func(n *node.Node) { text, v = n.Text(d) })
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Revision", strconv.FormatUint(revision, 10))
+	w.Header().Set("Revision", strconv.FormatUint(v.Revision, 10))
 	_, _ = w.Write([]byte(text))
 }
 
--- a/io/daemon/gauge.go
+++ b/io/daemon/gauge.go
@@ -11,6 +11,7 @@
 // gauges are the metrics that show the state of a node.
 type gauges struct {
 	rulesRevision  tally.Gauge
+	platformEpoch  tally.Gauge
 	rulesAge       tally.Gauge
 	busy           tally.Gauge
 	queued         tally.Gauge
@@ -33,6 +34,7 @@
 func newGauges(s tally.Scope) gauges {
 	return gauges{
 		rulesRevision:  s.Gauge("rules_revision"),
+		platformEpoch:  s.Gauge("platform_epoch"),
 		rulesAge:       s.Gauge("rules_age"),
 		busy:           s.Gauge("server_busy"),
 		queued:         s.Gauge("server_queued"),
@@ -55,6 +57,7 @@
 // update sets the gauges from s.
 func (g gauges) update(s node.Status) {
 	g.rulesRevision.Update(float64(s.Versions.Rules.Revision))
+	g.platformEpoch.Update(float64(max(s.Versions.Rules.Epoch, s.Versions.Fleet.Epoch)))
 	g.rulesAge.Update(s.Versions.Age.Seconds())
 	g.busy.Update(float64(s.Load.InFlight))
 	g.queued.Update(float64(s.Load.Queued))
--- a/io/daemon/gauge_test.go
+++ b/io/daemon/gauge_test.go
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	scope := tally.NewTestScope("", nil)
 	newGauges(scope).update(node.Status{
-		Versions:    event.Versions{Rules: view.Version{Revision: 3}, Fleet: view.Version{Revision: 4}, Age: 1500 * time.Millisecond, FleetAge: time.Second},
+		Versions:    event.Versions{Rules: view.Version{Epoch: 1, Revision: 3}, Fleet: view.Version{Epoch: 2, Revision: 4}, Age: 1500 * time.Millisecond, FleetAge: time.Second},
 		Load:        report.Load{InFlight: 4, Queued: 1, Limit: 10, Slow: 250, Cold: true, RateLimit: 3.3},
 		IsReader:    true,
 		CloseReason: effect.ReasonOutOfService,
@@ -41,6 +41,7 @@
 		"fleet_age":       1,
 		"server_slow":     2.5,
 		"server_quota":    3.3,
+		"platform_epoch":  2,
 		"platform_reader": 1,
 		"log_lost":        0,
 		"log_left":        0,
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -136,6 +136,9 @@
 		if m.Kind == kindVersions || m.Kind == kindRelayVersions {
 			m.Versions.Rules = view.Version{Revision: rapid.Uint64().Draw(t, "rules"), Digest: rapid.Uint64().Draw(t, "digest")}
 			m.Versions.Fleet = view.Version{Revision: rapid.Uint64().Draw(t, "fleet"), Digest: rapid.Uint64().Draw(t, "fleet digest")}
+			m.Versions.Rules.Edition = rapid.Uint64().Draw(t, "edition")
+			m.Versions.Rules.Epoch = rapid.Uint64().Draw(t, "rules epoch")
+			m.Versions.Fleet.Epoch = rapid.Uint64().Draw(t, "fleet epoch")
 			m.Versions.Age = time.Duration(count.Draw(t, "age"))
 			m.Versions.FleetAge = time.Duration(count.Draw(t, "fleet age"))
 			m.Versions.RulesReader = rapid.Uint32().Draw(t, "rules reader")
--- a/io/dgram/message.go
+++ b/io/dgram/message.go
@@ -27,8 +27,19 @@
 	kindAskTokens
 	// kindTokens is the response to kindAskTokens.
 	kindTokens
+	// kindOriginVersions and kindRelayOriginVersions are sent in place of kindVersions and
+	// kindRelayVersions if the documents have an edition or an epoch. An older build drops them, and
+	// compares versions by call.
+	kindOriginVersions
+	kindRelayOriginVersions
 )
 
+// withOrigin maps the kinds of versions to those that are sent with an edition and epochs.
+var withOrigin = map[kind]kind{kindVersions: kindOriginVersions, kindRelayVersions: kindRelayOriginVersions}
+
+// withoutOrigin is the inverse of withOrigin.
+var withoutOrigin = map[kind]kind{kindOriginVersions: kindVersions, kindRelayOriginVersions: kindRelayVersions}
+
 // formatVersion is the version of the datagram format, sent as the first byte.
 const formatVersion = 1
 
@@ -134,7 +145,11 @@
 
 // append appends the encoded form of m to b.
 func (m message) append(b []byte) []byte {
-	b = append(b, formatVersion, byte(m.Kind))
+	sent, origin := m.Kind, originOf(m.Versions)
+	if k, ok := withOrigin[m.Kind]; ok && origin != ([originFields]uint64{}) {
+		sent = k
+	}
+	b = append(b, formatVersion, byte(sent))
 	number := m.Number
 	if m.Kind == kindVersions || m.Kind == kindRelayVersions {
 		number = uint64(m.Versions.RulesReader)<<32 | uint64(m.Versions.FleetReader)
@@ -163,9 +178,22 @@
 	for _, d := range []time.Duration{v.Age, v.FleetAge} {
 		b = binary.AppendUvarint(b, uint64(min(max(d, 0), maxAge)))
 	}
+	if sent != m.Kind {
+		for _, n := range origin {
+			b = binary.AppendUvarint(b, n)
+		}
+	}
 	return b
 }
 
+// originFields is the number of fields that follow the versions if one of them isn't 0.
+const originFields = 3
+
+// originOf returns the edition and the epochs of the documents.
+func originOf(v event.Versions) [originFields]uint64 {
+	return [...]uint64{v.Rules.Edition, v.Rules.Epoch, v.Fleet.Epoch}
+}
+
 // flagsOf returns the flags of l.
 func flagsOf(l report.Load) byte {
 	var flags byte
@@ -239,6 +267,10 @@
 	r := &reader{rest: b}
 	head := r.take(2)
 	m := message{Kind: kind(head[1]), Number: binary.BigEndian.Uint64(r.take(8))}
+	bare, hasOrigin := withoutOrigin[m.Kind]
+	if hasOrigin {
+		m.Kind = bare
+	}
 	if m.Kind != kindLoadRequest {
 		m.From.Instance = string(r.take(int(r.take(1)[0])))
 		m.From.Incarnation = binary.BigEndian.Uint64(r.take(8))
@@ -260,6 +292,9 @@
 		v.Rules.Revision, v.Rules.Digest = r.uvarint(), r.uvarint()
 		v.Fleet.Revision, v.Fleet.Digest = r.uvarint(), r.uvarint()
 		v.Age, v.FleetAge = r.age(), r.age()
+		if hasOrigin {
+			v.Rules.Edition, v.Rules.Epoch, v.Fleet.Epoch = r.uvarint(), r.uvarint(), r.uvarint()
+		}
 		v.RulesReader, v.FleetReader = uint32(m.Number>>32), uint32(m.Number)
 		m.Number = 0
 	default:
--- a/io/gate/listen.go
+++ b/io/gate/listen.go
@@ -62,7 +62,7 @@
 	if attempt.Call, err = nested.Parse(r.Header.Get(proto.HeaderCall)); err != nil {
 		return attempt, err
 	}
-	if attempt.Versions, err = proto.ParseVersions(r.Header.Get(proto.HeaderVersions)); err != nil {
+	if attempt.Versions, err = proto.VersionsOf(r.Header); err != nil {
 		return attempt, err
 	}
 	if attempt.RateLimit, err = proto.ParseQuota(r.Header.Get(proto.HeaderQuota)); err != nil {
@@ -102,7 +102,7 @@
 	h.Set(proto.HeaderTicket, attempt.Ticket.String())
 	h.Set(proto.HeaderOutcome, response.Outcome.String())
 	h.Set(proto.HeaderGuard, proto.FormatNode(response.Guard))
-	h.Set(proto.HeaderVersions, proto.FormatVersions(response.Versions))
+	proto.SetVersions(h, response.Versions)
 	h.Set(proto.HeaderClock, g.loop.Stamp())
 	setLoad(h, response.Load)
 	if response.Outcome != effect.Run {
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -30,15 +30,21 @@
 	revisionHeader = "Revision"
 )
 
-// Document is a published text and its revision.
+// Document is a published text and its version.
 type Document struct {
+	// Edition is the number that the author of the text counts up, and Epoch the number of times
+	// that the platform came back from an older copy of its data. Each is 0 if it isn't known.
+	Edition  uint64
+	Epoch    uint64
 	Revision uint64
 	Text     string
 }
 
 // Query holds the parameters of a read.
 type Query struct {
-	// After is the revision that the document must exceed.
+	// Epoch is the epoch of After and Held. HTTP ignores it.
+	Epoch uint64
+	// After is the revision that the document must exceed. In another epoch, any document exceeds it.
 	After uint64
 	// MaxHold is the longest time to wait for such a revision. A platform that does not support
 	// waiting responds with its current document.
--- a/io/proto/header.go
+++ b/io/proto/header.go
@@ -16,6 +16,7 @@
 	HeaderEnding   = HeaderPrefix + "Ending"
 	HeaderGuard    = HeaderPrefix + "Guard"
 	HeaderVersions = HeaderPrefix + "Versions"
+	HeaderOrigin   = HeaderPrefix + "Origin"
 	HeaderAttempt  = HeaderPrefix + "Attempt"
 	HeaderCall     = HeaderPrefix + "Call"
 	HeaderCustomer = HeaderPrefix + "Customer"
--- a/io/proto/text.go
+++ b/io/proto/text.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -67,6 +68,36 @@
 	}, nil
 }
 
+// SetVersions sets the headers that carry v. Nodes of an older build ignore HeaderOrigin, which is only
+// set where it says something.
+func SetVersions(h http.Header, v event.Versions) {
+	h.Set(HeaderVersions, FormatVersions(v))
+	if v.Rules.Edition|v.Rules.Epoch|v.Fleet.Epoch != 0 {
+		h.Set(HeaderOrigin, fmt.Sprintf("%x.%x.%x", v.Rules.Edition, v.Rules.Epoch, v.Fleet.Epoch))
+	}
+}
+
+// VersionsOf parses the headers that SetVersions sets. It returns a *HeaderError if one of them is
+// invalid.
+func VersionsOf(h http.Header) (event.Versions, error) {
+	v, err := ParseVersions(h.Get(HeaderVersions))
+	text := h.Get(HeaderOrigin)
+	if err != nil || text == "" {
+		return v, err
+	}
+	parts := strings.Split(text, ".")
+	fields := []*uint64{&v.Rules.Edition, &v.Rules.Epoch, &v.Fleet.Epoch}
+	if len(parts) != len(fields) {
+		return event.Versions{}, &HeaderError{Name: HeaderOrigin, Text: text}
+	}
+	for i, field := range fields {
+		if *field, err = strconv.ParseUint(parts[i], 16, 64); err != nil {
+			return event.Versions{}, &HeaderError{Name: HeaderOrigin, Text: text}
+		}
+	}
+	return v, nil
+}
+
 // FormatNode formats n as a header value.
 func FormatNode(n ticket.NodeID) string {
 	return n.Instance + "." + strconv.FormatUint(n.Incarnation, 16)
--- a/io/proto/text_test.go
+++ b/io/proto/text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -24,6 +25,37 @@
 	c.Check(got.FleetAge > 24*time.Hour, qt.IsTrue)
 }
 
+func TestVersionsInHeaders(t *testing.T) {
+	c := qt.New(t)
+	sent := event.Versions{
+		Rules: view.Version{Edition: 12, Epoch: 2, Revision: 3, Digest: 4},
+		Fleet: view.Version{Epoch: 1, Revision: 5, Digest: 6},
+	}
+	h := make(http.Header)
+	SetVersions(h, sent)
+	got, err := VersionsOf(h)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.Rules, qt.Equals, sent.Rules)
+	c.Check(got.Fleet, qt.Equals, sent.Fleet)
+	// A node of an older build knows the first header only, and sends no other.
+	old, err := ParseVersions(h.Get(HeaderVersions))
+	c.Assert(err, qt.IsNil)
+	c.Check(old.Rules, qt.Equals, view.Version{Revision: 3, Digest: 4})
+	h.Del(HeaderOrigin)
+	got, err = VersionsOf(h)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.Rules, qt.Equals, view.Version{Revision: 3, Digest: 4})
+	for _, text := range []string{"1.2", "1.2.3.4", "1.2.x", "-1.2.3"} {
+		h.Set(HeaderOrigin, text)
+		_, err := VersionsOf(h)
+		var header *HeaderError
+		c.Check(errors.As(err, &header), qt.IsTrue, qt.Commentf("%q", text))
+	}
+	h = make(http.Header)
+	SetVersions(h, event.Versions{Rules: view.Version{Revision: 1}})
+	c.Check(h.Get(HeaderOrigin), qt.Equals, "")
+}
+
 func TestParseAttemptRejectsOtherWords(t *testing.T) {
 	for _, text := range []string{"", "yes", "yep/1/2/no/3/4/no", "yes/1/2/NO/3/4/no", "yes/1/2/no/3/4/", "yes/x/2/no/3/4/no"} {
 		var header *HeaderError
--- a/io/remote/remote.go
+++ b/io/remote/remote.go
@@ -112,7 +112,7 @@
 	proto.CopyHeader(r.Header, attempt.Header)
 	r.Header.Set(proto.HeaderTicket, attempt.Ticket.String())
 	r.Header.Set(proto.HeaderCall, attempt.Call.String())
-	r.Header.Set(proto.HeaderVersions, proto.FormatVersions(attempt.Versions))
+	proto.SetVersions(r.Header, attempt.Versions)
 	r.Header.Set(proto.HeaderAttempt, proto.FormatAttempt(attempt))
 	r.Header.Set(proto.HeaderClock, e.loop.Stamp())
 	r.Header.Set(proto.HeaderID, attempt.Name)
@@ -160,7 +160,7 @@
 		load.Ending = r.Header.Get(proto.HeaderEnding) == proto.EndingValue
 		result.Load = &load
 	}
-	if v, err := proto.ParseVersions(r.Header.Get(proto.HeaderVersions)); err == nil {
+	if v, err := proto.VersionsOf(r.Header); err == nil {
 		result.Versions = v
 		e.reportVersions(result, attempt.Peer)
 	}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -192,10 +192,10 @@
 	ctx, cancel := context.WithTimeout(r.context, e.MaxHold+readTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	query := plat.Query{After: e.After, MaxHold: e.MaxHold, AllowStale: e.AllowStale}
+	query := plat.Query{Epoch: e.Epoch, After: e.After, MaxHold: e.MaxHold, AllowStale: e.AllowStale}
 	if e.ChangesOnly {
 		r.loop.View(func(n *node.Node) {
-			if text, revision := n.Text(e.Document); revision == e.After {
+			if text, v := n.Text(e.Document); v.Epoch == e.Epoch && v.Revision == e.After {
 				query.Held = text
 			}
 		})
@@ -217,26 +217,26 @@
 		if held := queriedAt.Add(e.MaxHold); !held.After(now) {
 			queriedAt = held
 		}
-		r.loop.Process(event.DocumentUnchanged{At: now, QueriedAt: queriedAt, Document: e.Document, Revision: unchanged.Revision})
+		r.loop.Process(event.DocumentUnchanged{At: now, QueriedAt: queriedAt, Document: e.Document, Epoch: e.Epoch, Revision: unchanged.Revision})
 	case err != nil:
 		r.loop.Process(event.DocumentReadFailed{At: now, Document: e.Document, Cause: err})
 	default:
-		r.loop.Process(event.DocumentRead{At: now, QueriedAt: queriedAt, Document: e.Document, Text: d.Text, Revision: d.Revision, MayBeStale: e.AllowStale})
+		r.loop.Process(event.DocumentRead{At: now, QueriedAt: queriedAt, Document: e.Document, Text: d.Text, Edition: d.Edition, Epoch: d.Epoch, Revision: d.Revision, MayBeStale: e.AllowStale})
 	}
 }
 
 // fetchFromPeer reads a document from the node at peer.
 func (r *Runner) fetchFromPeer(peer netip.AddrPort, from event.DocumentSource, d event.Document) {
-	text, revision, err := r.wire.FetchDocument(r.context, peer, d)
+	text, v, err := r.wire.FetchDocument(r.context, peer, d)
 	now := time.Now()
-	if err == nil && revision == 0 {
+	if err == nil && v.Revision == 0 {
 		err = &MissingError{Document: d}
 	}
 	if err != nil {
 		r.loop.Process(event.DocumentReadFailed{At: now, Document: d, From: from, Cause: err})
 		return
 	}
-	r.loop.Process(event.DocumentRead{At: now, Document: d, From: from, Text: text, Revision: revision})
+	r.loop.Process(event.DocumentRead{At: now, Document: d, From: from, Text: text, Edition: v.Edition, Epoch: v.Epoch, Revision: v.Revision})
 }
 
 // exchangeVersions exchanges versions with a peer.
--- a/io/wire/service.go
+++ b/io/wire/service.go
@@ -10,6 +10,7 @@
 	"bulrushlock/core/node"
 	"bulrushlock/core/report"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
 )
 
@@ -61,6 +62,9 @@
 	// Packed is the document's compressed text.
 	Packed   []byte
 	Revision uint64
+	// Edition and Epoch are 0 from a node that doesn't tell them.
+	Edition uint64
+	Epoch   uint64
 }
 
 // LoadRequest is the request of Node.Probe, which queries the load of a guard.
@@ -142,7 +146,9 @@
 func (h *handler) Fetch(q DocumentRequest, r *DocumentResponse) (err error) {
 	defer h.recover("Fetch", &err)
 	var text string
-	h.endpoint.loop.View(func(n *node.Node) { text, r.Revision = n.Text(q.Document) })
+	var v view.Version
+	h.endpoint.loop.View(func(n *node.Node) { text, v = n.Text(q.Document) })
+	r.Edition, r.Epoch, r.Revision = v.Edition, v.Epoch, v.Revision
 	r.Packed, err = h.endpoint.compressor.compress(q.Document, text)
 	return err
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -20,6 +20,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
 	"bulrushlock/io/meter"
 )
@@ -168,17 +169,18 @@
 	return response, err
 }
 
-// FetchDocument reads a document from the node at peer. It fails with a *CallError.
-func (ep *Endpoint) FetchDocument(ctx context.Context, peer netip.AddrPort, d event.Document) (text string, revision uint64, err error) {
+// FetchDocument reads a document and its version, without a digest, from the node at peer. It fails with a
+// *CallError.
+func (ep *Endpoint) FetchDocument(ctx context.Context, peer netip.AddrPort, d event.Document) (text string, v view.Version, err error) {
 	var response DocumentResponse
 	if err := ep.call(ctx, peer, "Fetch", DocumentRequest{Document: d}, &response); err != nil {
-		return "", 0, err
+		return "", v, err
 	}
 	text, err = decompress(response.Packed)
 	if err != nil {
-		return "", 0, &CallError{Method: "Fetch", Peer: peer, Cause: err}
+		return "", v, &CallError{Method: "Fetch", Peer: peer, Cause: err}
 	}
-	return text, response.Revision, nil
+	return text, view.Version{Edition: response.Edition, Epoch: response.Epoch, Revision: response.Revision}, nil
 }
 
 // ProbeLoad queries the guard at peer for its load. It fails with a *CallError.
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -20,6 +20,7 @@
 	"bulrushlock/core/node"
 	"bulrushlock/core/pick"
 	"bulrushlock/core/ticket"
+	"bulrushlock/core/view"
 	"bulrushlock/io/loop"
 )
 
@@ -60,10 +61,10 @@
 	c.Check(received.From, qt.Equals, two)
 	c.Check(received.Versions.Rules.Revision, qt.Equals, uint64(3))
 
-	text, revision, err := w.FetchDocument(ctx, peer, event.Rules)
+	text, v, err := w.FetchDocument(ctx, peer, event.Rules)
 	c.Assert(err, qt.IsNil)
 	c.Check(text, qt.Equals, testRules)
-	c.Check(revision, qt.Equals, uint64(3))
+	c.Check(v, qt.Equals, view.Version{Revision: 3})
 
 	probed, err := w.ProbeLoad(ctx, peer)
 	c.Assert(err, qt.IsNil)
