fix(core/rules, core/gossip): rules of up to 4 MiB; data centres are followed whatever the rest

Cause: the configuration is turned into the project's rules, whose lines repeat the host; 1 MiB in the store became more than the 1 MiB that core/rules takes. Data centres out of service are part of the same text.

Change: a text of rules may have 4 MiB, as much as nodes fetch from each other. Of rules that can't be used the data centres out of service are taken, where editions order what nodes hold beside them. Nothing is refused by part that was taken before.

Evidence: TestLargestConfigurationIsTaken and TestInvalidRulesTakeCentreOutOfService failed before.

--- a/core/gossip/fetch_test.go
+++ b/core/gossip/fetch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"bulrushlock/core/effect"
 	"bulrushlock/core/event"
 	"bulrushlock/core/gossip"
+	"bulrushlock/core/rules"
 	"bulrushlock/core/view"
 )
 
@@ -71,6 +73,38 @@
 	c.Assert(out[1].(effect.FetchDocument).Peer.ControlAddr, qt.Equals, control)
 }
 
+// TestInvalidRulesTakeCentreOutOfService guards against data centres that stay in service because the
+// rules published beside them can't be used.
+func TestInvalidRulesTakeCentreOutOfService(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	g := gossip.New("i0", "north")
+	publish := func(edition, revision uint64, text string) gossip.Change {
+		now = now.Add(time.Minute)
+		change, _ := g.DocumentRead(event.DocumentRead{At: now, Document: event.Rules, Text: text, Edition: edition, Epoch: 1, Revision: revision}, 1, nil)
+		return change
+	}
+	isOut := func() bool {
+		s, ok := g.Rules()
+		c.Assert(ok, qt.IsTrue)
+		return s.IsOutOfService("", "north")
+	}
+	const out = "out centre=north   # operator: evacuation\n"
+	tooLong := strings.Repeat("# nothing\n", rules.MaxTextBytes/10) + out
+	publish(1, 10, ruleText)
+	c.Check(isOut(), qt.IsFalse)
+	c.Check(publish(2, 20, tooLong).Rules, qt.IsTrue)
+	c.Check(isOut(), qt.IsTrue)
+	c.Check(g.RulesAge(now), qt.Equals, time.Duration(0))
+	c.Check(publish(2, 30, "nonsense\n"+out).Rules, qt.IsFalse)
+	c.Check(isOut(), qt.IsTrue)
+	publish(2, 40, "nonsense\n")
+	c.Check(isOut(), qt.IsFalse)
+	c.Check(g.Versions(now).Rules.Edition, qt.Equals, uint64(1))
+	publish(3, 50, ruleText+"# third\n")
+	c.Check(g.Versions(now).Rules.Edition, qt.Equals, uint64(3))
+}
+
 func TestInvalidRevisionConfirmsPreviousRules(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -263,7 +263,11 @@
 	}
 	if err != nil {
 		g.backOff(e.Document, e.From, random)
-		return g.skipInvalid(e, g.logInvalid(e, err, out))
+		out = g.logInvalid(e, err, out)
+		if change, out, ok := g.takeCentresOut(e, random, out); ok {
+			return change, out
+		}
+		return g.skipInvalid(e, out)
 	}
 	switch verdict {
 	case view.Accepted:
--- a/core/gossip/recovery.go
+++ b/core/gossip/recovery.go
@@ -54,23 +54,49 @@
 // data centres out of service are taken over, which have no edition.
 func (g *Gossip) offerRules(e event.DocumentRead) (view.Verdict, error) {
 	v, held := e.Version(), g.rules.Version()
-	isFromCopy := e.From.Peer == "" && !e.MayBeStale && v.IsOlderEdition(held) && v.CompareRevision(held) >= 0
-	if !isFromCopy {
-		return g.rules.Offer(e.Text, v, e.At)
+	if isCurrent(e, held) && v.IsOlderEdition(held) {
+		return g.offerCentresOut(e)
 	}
-	read, err := rules.Parse(e.Text)
-	if err != nil {
-		return g.rules.Offer(e.Text, v, e.At)
-	}
-	v.Edition = held.Edition
+	return g.rules.Offer(e.Text, v, e.At)
+}
+
+// isCurrent reports whether e is what the platform holds now, and not older than the held version.
+func isCurrent(e event.DocumentRead, held view.Version) bool {
+	return e.From.Peer == "" && !e.MayBeStale && e.Version().CompareRevision(held) >= 0
+}
+
+// offerCentresOut offers the held rules with the data centres that are out of service by e.
+func (g *Gossip) offerCentresOut(e event.DocumentRead) (view.Verdict, error) {
 	set, _ := g.rules.Value()
-	text := g.rules.Text()
-	if !slices.Equal(centreNames(read.CentresOut), centreNames(set.CentresOut)) {
-		text = set.WithCentresOut(read.CentresOut).String()
+	text, out := g.rules.Text(), rules.ParseCentresOut(e.Text)
+	if !slices.Equal(centreNames(out), centreNames(set.CentresOut)) {
+		text = set.WithCentresOut(out).String()
 	}
+	v := e.Version()
+	v.Edition = g.rules.Version().Edition
 	return g.rules.Offer(text, v, e.At)
 }
 
+// takeCentresOut takes the data centres out of service from rules that are invalid otherwise, and reports
+// whether it did. Without editions, the rules that nodes hold beside them couldn't be ordered.
+func (g *Gossip) takeCentresOut(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect, bool) {
+	held := g.rules.Version()
+	if e.Document != event.Rules || held.Edition == 0 || !isCurrent(e, held) {
+		return Change{}, out, false
+	}
+	switch verdict, _ := g.offerCentresOut(e); verdict {
+	case view.Accepted:
+		g.applyRules(e.At)
+		change, out := g.recordAccepted(e, random, out)
+		return change, out, true
+	case view.Known:
+		change, out := g.confirmFromPlatform(e, out)
+		return change, out, true
+	case view.Older, view.Invalid:
+	}
+	return Change{}, out, false
+}
+
 // centreNames returns the names of data centres.
 func centreNames(list []rules.OutOfService) []string {
 	names := make([]string, 0, len(list))
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -7,8 +7,9 @@
 	"unicode/utf8"
 )
 
-// maxTextBytes is the maximum size of a rules text in bytes.
-const maxTextBytes = 1 << 20
+// MaxTextBytes is the maximum size of a rules text in bytes. A platform may store the same rules in a
+// shorter form.
+const MaxTextBytes = 4 << 20
 
 // commentForm is the syntax of the comment that each rule must end with.
 const commentForm = "# WHO: WHY"
@@ -17,8 +18,8 @@
 // invalid, Parse returns a *FaultsError that lists all its faults.
 func Parse(text string) (*Set, error) {
 	p := newParser()
-	if len(text) > maxTextBytes {
-		p.addFault(1, fmt.Sprintf("the text is longer than %d bytes", maxTextBytes), "shorten the text")
+	if len(text) > MaxTextBytes {
+		p.addFault(1, fmt.Sprintf("the text is longer than %d bytes", MaxTextBytes), "shorten the text")
 		return nil, &FaultsError{Faults: p.faults}
 	}
 	for line := range strings.SplitSeq(text, "\n") {
@@ -34,6 +35,19 @@
 	return p.set, nil
 }
 
+// ParseCentresOut returns the data centres that are out of service by a rules text, whatever is wrong
+// with the rest of it. Rules that can't be read are left out.
+func ParseCentresOut(text string) []OutOfService {
+	p := newParser()
+	for line := range strings.SplitSeq(text, "\n") {
+		p.line++
+		if strings.HasPrefix(line, "out ") {
+			p.readLine(strings.TrimSuffix(line, "\r"))
+		}
+	}
+	return p.set.CentresOut
+}
+
 // parser holds the state of parsing a rules text.
 type parser struct {
 	set    *Set
--- a/io/wire/compress.go
+++ b/io/wire/compress.go
@@ -8,10 +8,11 @@
 	"sync"
 
 	"bulrushlock/core/event"
+	"bulrushlock/core/rules"
 )
 
 // maxDocumentSize is the size in bytes of the largest document that is decompressed.
-const maxDocumentSize = 4 << 20
+const maxDocumentSize = rules.MaxTextBytes
 
 // compressor compresses documents. It caches the last result for each document, because
 // many peers read the same one at nearly the same time.
