feat(io/soak): the platform comes back from older copies

Cause: nothing played a platform that loses its last seconds under load, beside signals, restarts and cuts.

Change: the fake platform keeps what was published, comes back from a copy in a new epoch, and takes the edition of rules; the reader of the project's own dialect reads both where a platform tells them. First ports of soaks are 1,000 apart, as two soaks side by side took the same one.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -40,8 +40,10 @@
 	Fleet       uint64 `json:"fleet"`
 	// Epoch counts how often the platform came back from an older copy, and Edition is the author's
 	// number of the rules; 0 if unknown.
-	Epoch   uint64 `json:"epoch,omitempty"`
-	Edition uint64 `json:"edition,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
+	// RulesEpoch is the epoch of the revision in Rules.
+	RulesEpoch uint64 `json:"rulesepoch,omitempty"`
+	Edition    uint64 `json:"edition,omitempty"`
 	// Age is the time in milliseconds since the rules were last known to be current.
 	Age         int64  `json:"age"`
 	Freshness   string `json:"trust"`
@@ -95,6 +97,7 @@
 		Service:     s.Config.Service,
 		Rules:       s.Versions.Rules.Revision,
 		Epoch:       max(s.Versions.Rules.Epoch, s.Versions.Fleet.Epoch),
+		RulesEpoch:  s.Versions.Rules.Epoch,
 		Edition:     s.Versions.Rules.Edition,
 		Fleet:       s.Versions.Fleet.Revision,
 		Age:         s.Versions.Age.Milliseconds(),
--- a/io/fake/platform.go
+++ b/io/fake/platform.go
@@ -17,7 +17,9 @@
 // document is a text and its revision, which is 0 before the first one is published.
 type document struct {
 	revision uint64
-	text     string
+	// edition is the author's number of the text, or 0 if it has none.
+	edition uint64
+	text    string
 }
 
 // next returns the document with the given text and the next revision.
@@ -27,22 +29,35 @@
 
 // documents holds the two documents of the platform.
 type documents struct {
+	// epoch counts how often the platform came back from an older copy.
+	epoch     uint64
 	rules     document
 	instances document
 }
 
+// savedDocuments are documents that were published at a time.
+type savedDocuments struct {
+	at        time.Time
+	documents documents
+}
+
+// maxSaved is the number of states that a platform can come back to.
+const maxSaved = 256
+
 // Platform is a fake of the platform, which publishes the rules and the instance list.
 type Platform struct {
 	mux *http.ServeMux
 
 	mu        sync.Mutex
 	published documents
-	frozen    documents
-	down      bool
-	stale     bool
-	slow      time.Duration
-	reads     int
-	changed   chan struct{}
+	// saved are the last states that were published, in their order.
+	saved   []savedDocuments
+	frozen  documents
+	down    bool
+	stale   bool
+	slow    time.Duration
+	reads   int
+	changed chan struct{}
 }
 
 var _ http.Handler = (*Platform)(nil)
@@ -55,6 +70,7 @@
 	p.mux.HandleFunc("POST /control/rules", p.controlRules)
 	p.mux.HandleFunc("POST /control/instances", p.controlInstances)
 	p.mux.HandleFunc("POST /control/fault", p.controlFault)
+	p.mux.HandleFunc("POST /control/return", p.controlReturn)
 	p.mux.HandleFunc("GET /control/calls", p.controlCalls)
 	return p
 }
@@ -65,14 +81,43 @@
 }
 
 // PublishRules publishes rules and returns their revision.
-func (p *Platform) PublishRules(text string) uint64 {
+func (p *Platform) PublishRules(text string) uint64 { return p.publishEdition(text, 0) }
+
+// publishEdition publishes an edition of the rules and returns its revision.
+func (p *Platform) publishEdition(text string, edition uint64) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.published.rules = p.published.rules.next(text)
+	p.published.rules.edition = edition
+	p.save()
 	p.wakeReaders()
 	return p.published.rules.revision
 }
 
+// save keeps what is published. The caller must hold the mutex.
+func (p *Platform) save() {
+	if len(p.saved) == maxSaved {
+		p.saved = p.saved[1:]
+	}
+	p.saved = append(p.saved, savedDocuments{at: time.Now(), documents: p.published})
+}
+
+// ReturnFromCopy makes the platform come back from a copy of the documents as they were a time ago, in
+// a new epoch. The revisions since then are given out once more.
+func (p *Platform) ReturnFromCopy(age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	epoch, wanted := p.published.epoch+1, time.Now().Add(-age)
+	for len(p.saved) > 1 && p.saved[len(p.saved)-1].at.After(wanted) {
+		p.saved = p.saved[:len(p.saved)-1]
+	}
+	if len(p.saved) > 0 {
+		p.published = p.saved[len(p.saved)-1].documents
+	}
+	p.published.epoch = epoch
+	p.wakeReaders()
+}
+
 // PublishInstances publishes an instance list and returns its revision. An instance that
 // cannot be formatted is a bug in the test, so PublishInstances panics with a
 // *fleet.ParseError.
@@ -89,6 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.published.instances = p.published.instances.next(text)
+	p.save()
 	p.wakeReaders()
 	return p.published.instances.revision
 }
@@ -162,7 +208,7 @@
 // readHandler returns the handler that reads the document that pick returns.
 func (p *Platform) readHandler(pick func(documents) document) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		after, wait, err := parseWatchQuery(r.URL.Query())
+		q, err := parseWatchQuery(r.URL.Query())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -170,16 +216,14 @@
 		if !sleep(r, p.beginRead()) {
 			return
 		}
-		p.watch(w, r, pick, after, wait)
+		p.watch(w, r, pick, q)
 	}
 }
 
-// watch responds with the document once its revision is above after, or with status
-// 304 once wait has passed.
-func (p *Platform) watch(
-	w http.ResponseWriter, r *http.Request, pick func(documents) document, after uint64, wait time.Duration,
-) {
-	t := time.NewTimer(wait)
+// watch responds with the document once it is newer than the one that the reader holds, or with status
+// 304 once its wait has passed. In another epoch each document is newer.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request, pick func(documents) document, q watchQuery) {
+	t := time.NewTimer(q.wait)
 	defer t.Stop()
 	for {
 		g := p.snapshot()
@@ -187,7 +231,10 @@
 			resetConnection(w)
 			return
 		}
-		if d := pick(g.documents); d.revision > after {
+		if epoch := g.documents.epoch; epoch > 0 {
+			w.Header().Set("Epoch", strconv.FormatUint(epoch, 10))
+		}
+		if d := pick(g.documents); d.revision > q.after || d.revision > 0 && g.documents.epoch != q.epoch {
 			writeDocument(w, d)
 			return
 		}
@@ -202,21 +249,42 @@
 	}
 }
 
-// parseWatchQuery returns the revision that the reader holds and its wait time.
-func parseWatchQuery(q url.Values) (after uint64, wait time.Duration, err error) {
-	if text := q.Get("after"); text != "" {
-		after, err = strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			return 0, 0, &ParameterError{Key: "after", Text: text}
-		}
+// watchQuery is the epoch and the revision that a reader holds, and its wait time.
+type watchQuery struct {
+	epoch, after uint64
+	wait         time.Duration
+}
+
+// parseWatchQuery parses the parameters of a read.
+func parseWatchQuery(q url.Values) (watchQuery, error) {
+	var result watchQuery
+	var err error
+	if result.after, err = parseNumber(q, "after"); err != nil {
+		return watchQuery{}, err
+	}
+	if result.epoch, err = parseNumber(q, "epoch"); err != nil {
+		return watchQuery{}, err
 	}
 	if text := q.Get("wait"); text != "" {
-		wait, err = time.ParseDuration(text)
-		if err != nil || wait < 0 {
-			return 0, 0, &ParameterError{Key: "wait", Text: text}
+		result.wait, err = time.ParseDuration(text)
+		if err != nil || result.wait < 0 {
+			return watchQuery{}, &ParameterError{Key: "wait", Text: text}
 		}
 	}
-	return after, wait, nil
+	return result, nil
+}
+
+// parseNumber returns the number in a parameter, or 0 if it is missing.
+func parseNumber(q url.Values, key string) (uint64, error) {
+	text := q.Get(key)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, &ParameterError{Key: key, Text: text}
+	}
+	return n, nil
 }
 
 // sleep waits for d. It returns false if the request is canceled first.
@@ -234,18 +302,38 @@
 // writeDocument writes a document as the response.
 func writeDocument(w http.ResponseWriter, d document) {
 	w.Header().Set("Revision", strconv.FormatUint(d.revision, 10))
+	if d.edition > 0 {
+		w.Header().Set("Edition", strconv.FormatUint(d.edition, 10))
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	// A failed write means that the reader has disconnected and needs no response.
 	_, _ = io.WriteString(w, d.text)
 }
 
-// controlRules publishes the request body as the rules.
+// controlRules publishes the request body as the rules. The query may give their edition.
 func (p *Platform) controlRules(w http.ResponseWriter, r *http.Request) {
+	edition, err := parseNumber(r.URL.Query(), "edition")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	text, ok := readBody(w, r)
 	if !ok {
 		return
 	}
-	writeRevision(w, p.PublishRules(text))
+	writeRevision(w, p.publishEdition(text, edition))
+}
+
+// controlReturn makes the platform come back from a copy, as in POST /control/return?age=2s.
+func (p *Platform) controlReturn(w http.ResponseWriter, r *http.Request) {
+	text := r.URL.Query().Get("age")
+	age, err := time.ParseDuration(text)
+	if err != nil || age < 0 {
+		http.Error(w, (&ParameterError{Key: "age", Text: text}).Error(), http.StatusBadRequest)
+		return
+	}
+	p.ReturnFromCopy(age)
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // controlInstances publishes the request body as the instance list.
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -18,6 +18,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -26,8 +27,11 @@
 	maxDocumentSize = 1 << 20
 	// responseGrace is the time that a response may take in addition to Query.MaxHold.
 	responseGrace = 5 * time.Second
-	// revisionHeader is the HTTP header that carries the revision of a document.
+	// revisionHeader is the HTTP header that carries the revision of a document. A platform may add
+	// the epoch and the edition.
 	revisionHeader = "Revision"
+	epochHeader    = "Epoch"
+	editionHeader  = "Edition"
 )
 
 // Document is a published text and its version.
@@ -42,7 +46,7 @@
 
 // Query holds the parameters of a read.
 type Query struct {
-	// Epoch is the epoch of After and Held. HTTP ignores it.
+	// Epoch is the epoch of After and Held.
 	Epoch uint64
 	// After is the revision that the document must exceed. In another epoch, any document exceeds it.
 	After uint64
@@ -143,7 +147,7 @@
 		return Document{}, fmt.Errorf("read %s: %w", path, &UnreachableError{Address: h.address, Cause: err})
 	}
 	defer func() { _ = response.Body.Close() }()
-	d, err := h.parseResponse(response, q.After)
+	d, err := h.parseResponse(response, q)
 	if err != nil {
 		return Document{}, fmt.Errorf("read %s: %w", path, err)
 	}
@@ -153,6 +157,9 @@
 // url returns the URL for a read of path with the parameters q.
 func (h *HTTP) url(path string, q Query) string {
 	values := url.Values{"after": {strconv.FormatUint(q.After, 10)}}
+	if q.Epoch > 0 {
+		values.Set("epoch", strconv.FormatUint(q.Epoch, 10))
+	}
 	if q.MaxHold > 0 {
 		values.Set("wait", q.MaxHold.String())
 	}
@@ -161,9 +168,13 @@
 }
 
 // parseResponse returns the document in a response.
-func (h *HTTP) parseResponse(response *http.Response, after uint64) (Document, error) {
-	if response.StatusCode == http.StatusNotModified {
-		return Document{}, &UnchangedError{After: after}
+func (h *HTTP) parseResponse(response *http.Response, q Query) (Document, error) {
+	epoch, err := h.optionalNumber(response, epochHeader)
+	if err != nil {
+		return Document{}, err
+	}
+	if response.StatusCode == http.StatusNotModified && epoch == q.Epoch {
+		return Document{}, &UnchangedError{After: q.After}
 	}
 	if response.StatusCode != http.StatusOK {
 		return Document{}, h.responseError(response, "unexpected status")
@@ -172,6 +183,10 @@
 	if err != nil {
 		return Document{}, h.responseError(response, fmt.Sprintf("revision %q is not a number", response.Header.Get(revisionHeader)))
 	}
+	edition, err := h.optionalNumber(response, editionHeader)
+	if err != nil {
+		return Document{}, err
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentSize+1))
 	if err != nil {
 		return Document{}, &UnreachableError{Address: h.address, Cause: err}
@@ -179,7 +194,21 @@
 	if len(text) > maxDocumentSize {
 		return Document{}, h.responseError(response, fmt.Sprintf("the document is larger than %d bytes", maxDocumentSize))
 	}
-	return Document{Revision: revision, Text: string(text)}, nil
+	return Document{Edition: edition, Epoch: epoch, Revision: revision, Text: string(text)}, nil
+}
+
+// optionalNumber returns the number in a header of a response, or 0 if there is none. It fails with a
+// *ResponseError.
+func (h *HTTP) optionalNumber(response *http.Response, name string) (uint64, error) {
+	text := response.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, h.responseError(response, fmt.Sprintf("%s %q is not a number", strings.ToLower(name), text))
+	}
+	return n, nil
 }
 
 // responseError returns the error for an invalid response.
--- a/io/plat/plat_test.go
+++ b/io/plat/plat_test.go
@@ -63,6 +63,29 @@
 	c.Assert(<-result, qt.Equals, Document{Revision: 2, Text: "two"})
 }
 
+func TestPlatformThatReturnsFromCopyIsReadAnew(t *testing.T) {
+	c := qt.New(t)
+	p := fake.NewPlatform()
+	h := newTestReader(t, p)
+	p.PublishRules("one")
+	time.Sleep(100 * time.Millisecond)
+	p.PublishRules("two")
+	p.PublishRules("three")
+	p.ReturnFromCopy(50 * time.Millisecond)
+	d, err := h.Rules(t.Context(), Query{After: 3, MaxHold: time.Hour})
+	c.Assert(err, qt.IsNil)
+	c.Check(d, qt.Equals, Document{Epoch: 1, Revision: 1, Text: "one"})
+	var unchanged *UnchangedError
+	_, err = h.Rules(t.Context(), Query{Epoch: 1, After: 1})
+	c.Check(err, qt.ErrorAs, &unchanged)
+	r, err := http.Post("http://"+h.address.String()+"/control/rules?edition=7", "text/plain", strings.NewReader("four"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Body.Close(), qt.IsNil)
+	d, err = h.Rules(t.Context(), Query{Epoch: 1, After: 1})
+	c.Assert(err, qt.IsNil)
+	c.Check(d, qt.Equals, Document{Edition: 7, Epoch: 1, Revision: 2, Text: "four"})
+}
+
 func TestReadFailures(t *testing.T) {
 	// respondWith returns a handler that always sends the same response.
 	respondWith := func(status int, revision, text string) http.HandlerFunc {
@@ -72,6 +95,13 @@
 			_, _ = w.Write([]byte(text))
 		}
 	}
+	// respondWithEpoch returns a handler that responds that nothing has changed in an epoch.
+	respondWithEpoch := func(epoch string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Epoch", epoch)
+			w.WriteHeader(http.StatusNotModified)
+		}
+	}
 	down := fake.NewPlatform()
 	down.SetDown(true)
 	tests := []struct {
@@ -83,6 +113,8 @@
 		{"unchanged", fake.NewPlatform(), new(*UnchangedError), "read /rules: no revision above 7"},
 		{"down", down, new(*UnreachableError), "read /rules: platform at .* cannot be reached: .*"},
 		{"status", respondWith(500, "8", "x"), new(*ResponseError), ".* returned status 500: unexpected status"},
+		{"other epoch", respondWithEpoch("soon"), new(*ResponseError), `.* epoch "soon" is not a number`},
+		{"unchanged in another epoch", respondWithEpoch("3"), new(*ResponseError), ".* returned status 304: unexpected status"},
 		{"no revision", respondWith(200, "", "x"), new(*ResponseError), `.* revision "" is not a number`},
 		{"too large", respondWith(200, "8", strings.Repeat("x", maxDocumentSize+1)), new(*ResponseError), ".* larger than 1048576 bytes"},
 		{"cut", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/soak/deployment.go
+++ b/io/soak/deployment.go
@@ -76,11 +76,13 @@
 	platformAddress netip.AddrPort
 	platformProxy   *proxy
 	client          *http.Client
-	// mutex guards evacuations, which counts the ongoing evacuations of each data centre, and
-	// versions, the number of rules published before the current ones.
-	mutex       sync.Mutex
-	evacuations map[string]int
-	versions    int
+	// mutex guards evacuations, which counts the ongoing evacuations of each data centre,
+	// versions, the number of rules published before the current ones, and firstEditionAt, the time at
+	// which the first ones were published with their edition.
+	mutex          sync.Mutex
+	evacuations    map[string]int
+	versions       int
+	firstEditionAt time.Time
 }
 
 // StartError reports a part of the deployment that did not start or become ready.
@@ -101,8 +103,9 @@
 	minPort   = 2_000
 	portCount = 10_000
 	// portsPerProcess is the distance of the first ports of soaks with successive process
-	// IDs, so that soaks that start at the same time do not choose the same ports.
-	portsPerProcess = 64
+	// IDs, so that soaks that start at the same time do not choose the same ports, each for up to
+	// twenty runs.
+	portsPerProcess = 1_000
 )
 
 // portsTried counts the ports that this process has tried.
@@ -301,18 +304,50 @@
 		d.evacuations[centre]--
 	}
 	d.versions++
+	d.publishRules()
+}
+
+// publishRules publishes the current rules. The mutex must be held.
+func (d *deployment) publishRules() {
 	text := rulesText + customersText(d.versions)
 	for name, count := range d.evacuations {
 		if count > 0 && len(d.evacuations) > 0 && name != centres[0] {
 			text += fmt.Sprintf("out centre=%s   # soak: an order\n", name)
 		}
 	}
-	r, err := d.client.Post("http://"+d.platformAddress.String()+"/control/rules", "text/plain", strings.NewReader(text))
+	// The rules at the start are the first edition.
+	path := fmt.Sprintf("/control/rules?edition=%d", d.versions+1)
+	r, err := d.client.Post("http://"+d.platformAddress.String()+path, "text/plain", strings.NewReader(text))
+	if err == nil {
+		_ = r.Body.Close()
+	}
+}
+
+// publishFirstEdition publishes the rules of the start with their edition.
+func (d *deployment) publishFirstEdition() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.publishRules()
+	d.firstEditionAt = time.Now()
+}
+
+// returnPlatform makes the platform come back from a copy of some time ago, and publishes again what it
+// lost. No copy is older than the first edition.
+func (d *deployment) returnPlatform(age time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	age = min(age, time.Since(d.firstEditionAt))
+	r, err := d.client.Post("http://"+d.platformAddress.String()+"/control/return?age="+age.String(), "text/plain", http.NoBody)
 	if err == nil {
 		_ = r.Body.Close()
 	}
+	time.Sleep(rewriteDelay)
+	d.publishRules()
 }
 
+// rewriteDelay is the time after which the rules are published again that an older copy lacks.
+const rewriteDelay = time.Second
+
 // status returns the status of the node of an instance.
 func (d *deployment) status(n *instance) (admin.Status, error) {
 	var s admin.Status
--- a/io/soak/schedule.go
+++ b/io/soak/schedule.go
@@ -29,13 +29,14 @@
 	// the other faults of a seed stay as they were.
 	kindCount
 	floodServer
+	returnPlatform
 )
 
 // String returns the name of the kind.
 func (k faultKind) String() string {
 	return [...]string{
 		"pause node", "kill node", "stop node", "re-read settings", "trouble before node", "trouble before platform",
-		"slow server", "pause server", "take data centre out", "", "endless bytes of server",
+		"slow server", "pause server", "take data centre out", "", "endless bytes of server", "older copy of platform",
 	}[k]
 }
 
@@ -63,8 +64,10 @@
 const (
 	// faultsPerSecond is the mean number of faults that begin each second. Faults overlap.
 	faultsPerSecond = 1.5
-	// floodsPerSecond is the mean number of faults of kind floodServer that begin each second.
-	floodsPerSecond = 0.25
+	// floodsPerSecond is the mean number of faults of kind floodServer that begin each second, and
+	// returnsPerSecond that of kind returnPlatform.
+	floodsPerSecond  = 0.25
+	returnsPerSecond = 0.25
 	// minFaultTime and maxFaultTime bound the length of a fault.
 	minFaultTime = 200 * time.Millisecond
 	maxFaultTime = 3 * time.Second
@@ -94,6 +97,14 @@
 			flood:  fake.FloodKinds()[r.IntN(len(fake.FloodKinds()))],
 		})
 	}
+	r = rand.New(rand.NewPCG(^seed, seed))
+	for range int(returnsPerSecond * length.Seconds()) {
+		plan = append(plan, fault{
+			at:     time.Duration(r.Int64N(int64(length))),
+			length: minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime))),
+			kind:   returnPlatform,
+		})
+	}
 	slices.SortFunc(plan, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -28,6 +28,7 @@
 	"syscall"
 	"time"
 
+	"bulrushlock/core/view"
 	"bulrushlock/io/fake"
 )
 
@@ -67,11 +68,12 @@
 	options    Options
 	deployment *deployment
 
-	mutex          sync.Mutex
-	results        []result
-	violations     []string
-	recovered      bool
-	rulesRevisions map[string]uint64
+	mutex      sync.Mutex
+	results    []result
+	violations []string
+	recovered  bool
+	// versions are the versions of the rules of each incarnation of a node.
+	versions map[string]view.Version
 	// strangers are the IDs of the claims with a credential that no rules hold.
 	strangers []string
 	// limited are the claims of limitedCustomer that ran.
@@ -109,7 +111,7 @@
 }
 
 // New returns a run that has not started.
-func New(o Options) *Soak { return &Soak{options: o, rulesRevisions: make(map[string]uint64)} }
+func New(o Options) *Soak { return &Soak{options: o, versions: make(map[string]view.Version)} }
 
 // Run runs the schedule of the seed. It returns a *StartError if the deployment does
 // not start, and the error of ctx if that is done before the end. It keeps the logs of all processes if an invariant was violated.
@@ -137,6 +139,7 @@
 	if err := s.deployment.waitReady(startCtx); err != nil {
 		return Report{}, err
 	}
+	s.deployment.publishFirstEdition()
 	if err := s.runSchedule(ctx); err != nil {
 		return Report{}, err
 	}
@@ -236,6 +239,8 @@
 		s.setServerFault(n, "flood&kind="+f.flood)
 		time.Sleep(f.length)
 		s.setServerFault(n, "none")
+	case returnPlatform:
+		s.deployment.returnPlatform(f.length)
 	case kindCount:
 	}
 	if err != nil {
@@ -320,7 +325,7 @@
 	return outcome
 }
 
-// monitor restarts nodes that have exited, and checks that the revision of the rules
+// monitor restarts nodes that have exited, and checks that the version of the rules
 // never decreases within an incarnation of a node.
 func (s *Soak) monitor(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -333,10 +338,11 @@
 				continue
 			}
 			incarnation := status.Instance + "." + status.Incarnation
-			if status.Rules < s.rulesRevisions[incarnation] {
-				s.addViolation("rules revision of %s decreased from %d to %d", incarnation, s.rulesRevisions[incarnation], status.Rules)
+			version := view.Version{Edition: status.Edition, Epoch: status.RulesEpoch, Revision: status.Rules}
+			if before := s.versions[incarnation]; version.Compare(before) < 0 || version.Edition < before.Edition {
+				s.addViolation("rules of %s went back from %+v to %+v", incarnation, before, version)
 			}
-			s.rulesRevisions[incarnation] = status.Rules
+			s.versions[incarnation] = version
 		}
 		select {
 		case <-time.After(100 * time.Millisecond):
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -18,12 +18,12 @@
 func TestScheduleIsDeterministic(t *testing.T) {
 	c := qt.New(t)
 	a, b := newSchedule(7, 6, 20*time.Second), newSchedule(7, 6, 20*time.Second)
-	// Of each second, 1.5 faults and 0.25 floods.
-	c.Assert(a, qt.HasLen, 35)
+	// Of each second, 1.5 faults, 0.25 floods and 0.25 returns from copies.
+	c.Assert(a, qt.HasLen, 40)
 	for i := range a {
 		c.Assert(a[i], qt.Equals, b[i])
 		c.Assert(a[i].at >= 0 && a[i].at < 20*time.Second && a[i].target < 6, qt.IsTrue)
-		c.Assert(a[i].kind == floodServer && a[i].flood != "" || a[i].mode > forward && a[i].mode < modeCount, qt.IsTrue)
+		c.Assert(a[i].kind == floodServer && a[i].flood != "" || a[i].kind == returnPlatform || a[i].mode > forward && a[i].mode < modeCount, qt.IsTrue)
 	}
 	c.Check(newSchedule(8, 6, 20*time.Second)[0] == a[0], qt.IsFalse)
 }
