fix(core/gossip): servers without an incarnation after a return; a line for an older edition

Cause: found on reading. Where a list has no incarnations, all its instances were one element for core/recall, so that after a return one departure took all of them out of use. And nothing told an operator that the platform holds an older edition than the one in force.

Change: such instances are told apart by name. The first read of an older edition in an epoch logs a line `invalid`.

Evidence: TestServersWithoutIncarnationAreToldApart failed before. TestOlderEditionIsLoggedOnce.

--- a/core/gossip/reads.go
+++ b/core/gossip/reads.go
@@ -257,6 +257,7 @@
 func (g *Gossip) takeDocument(e event.DocumentRead, random uint64, out []effect.Effect) (Change, []effect.Effect) {
 	out = g.recordReadable(e.At, e.Document, e.From, out)
 	g.finishRead(e.Document, e.From)
+	out = g.logOlderEdition(e, out)
 	verdict, err := g.offer(e)
 	if e.MayBeStale {
 		g.pauseAfterStaleRead(e.At, e.Document, random)
--- a/core/gossip/recovery.go
+++ b/core/gossip/recovery.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -35,8 +36,10 @@
 	isKnown bool
 	// centresOut are the data centres that are out of service.
 	centresOut *recall.Set[string]
-	// servers are the incarnations of backend servers that aren't leaving.
+	// servers are the backend servers that aren't leaving, by serverKey.
 	servers *recall.Set[string]
+	// older is the last version that was read from the platform and not taken because of its edition.
+	older view.Version
 	// rules are the rules in force: the held ones, with the data centres of centresOut.
 	rules *rules.Set
 }
@@ -132,6 +135,20 @@
 	r.rules = set.WithCentresOut(out)
 }
 
+// logOlderEdition logs, once, rules of an older edition than the held one that the platform holds.
+func (g *Gossip) logOlderEdition(e event.DocumentRead, out []effect.Effect) []effect.Effect {
+	held, older := g.rules.Version(), view.Version{Edition: e.Edition, Epoch: e.Epoch}
+	if e.Document != event.Rules || !isCurrent(e, held) || !older.IsOlderEdition(held) || older == g.recovery.older {
+		return out
+	}
+	g.recovery.older = older
+	return append(out, effect.LogEvent{Kind: effect.KindInvalid, Text: fmt.Sprintf("rules %s: edition %d is older than %d, which stays in force; only data centres out of service are followed",
+		versionName(e.Version()), e.Edition, held.Edition)})
+}
+
+// serverKey returns what tells a backend server from a later one at its address, as far as that is known.
+func serverKey(i fleet.Instance) string { return cmp.Or(i.Incarnation, i.Name) }
+
 // recoveredFleet returns the listed instances, with those of the list before that hold on. An
 // instance that is listed again after it has left is shown as leaving.
 func (g *Gossip) recoveredFleet(at time.Time, listed, before []fleet.Instance) []fleet.Instance {
@@ -139,22 +156,22 @@
 	var serving, leaving []string
 	for _, i := range listed {
 		if i.Leaving {
-			leaving = append(leaving, i.Incarnation)
+			leaving = append(leaving, serverKey(i))
 		} else {
-			serving = append(serving, i.Incarnation)
+			serving = append(serving, serverKey(i))
 		}
 	}
 	s.Observe(at, g.fleet.Version().Epoch, serving, leaving)
 	result := listed
-	if slices.ContainsFunc(listed, func(i fleet.Instance) bool { return s.IsIgnored(i.Incarnation) }) {
+	if slices.ContainsFunc(listed, func(i fleet.Instance) bool { return s.IsIgnored(serverKey(i)) }) {
 		result = slices.Clone(listed)
 		for n := range result {
-			result[n].Leaving = result[n].Leaving || s.IsIgnored(result[n].Incarnation)
+			result[n].Leaving = result[n].Leaving || s.IsIgnored(serverKey(result[n]))
 		}
 	}
-	for _, incarnation := range s.Kept() {
-		n := slices.IndexFunc(before, func(i fleet.Instance) bool { return i.Incarnation == incarnation })
-		isListed := func(i fleet.Instance) bool { return i.Name == before[n].Name || i.Incarnation == incarnation }
+	for _, key := range s.Kept() {
+		n := slices.IndexFunc(before, func(i fleet.Instance) bool { return serverKey(i) == key })
+		isListed := func(i fleet.Instance) bool { return i.Name == before[n].Name || serverKey(i) == key }
 		if n >= 0 && !slices.ContainsFunc(result, isListed) {
 			result = append(slices.Clip(result), before[n])
 		}
--- a/core/gossip/recovery_test.go
+++ b/core/gossip/recovery_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -16,6 +17,7 @@
 	"bulrushlock/core/fleet"
 	"bulrushlock/core/gossip"
 	"bulrushlock/core/rules"
+	"bulrushlock/core/view"
 )
 
 const (
@@ -292,3 +294,48 @@
 		}
 	}
 }
+
+// TestServersWithoutIncarnationAreToldApart guards against one departure that takes all instances out of
+// use after a return, where the list has no incarnations.
+func TestServersWithoutIncarnationAreToldApart(t *testing.T) {
+	c := qt.New(t)
+	g := gossip.New("i0", "north")
+	now := time.Unix(1000, 0)
+	list := func(epoch, revision uint64, leaving string) []fleet.Instance {
+		var all []fleet.Instance
+		for n := range 3 {
+			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)
+			name := fmt.Sprintf("i%d", n)
+			all = append(all, fleet.Instance{Name: name, Centre: "north", Service: "ledger", ForwardAddr: a, ControlAddr: a, Leaving: name == leaving})
+		}
+		text, err := fleet.Format(all)
+		c.Assert(err, qt.IsNil)
+		g.DocumentRead(event.DocumentRead{At: now, Document: event.Fleet, Text: text, Epoch: epoch, Revision: revision}, 1, nil)
+		instances, _ := g.Fleet()
+		return instances
+	}
+	list(1, 1, "")
+	list(1, 2, "i1")
+	for _, i := range list(2, 1, "") {
+		c.Check(i.Leaving, qt.Equals, i.Name == "i1", qt.Commentf("%s", i.Name))
+	}
+}
+
+// TestOlderEditionIsLoggedOnce reads a copy with an older edition several times.
+func TestOlderEditionIsLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	g := gossip.New("i0", "north")
+	now := time.Unix(1000, 0)
+	logged := 0
+	for n, v := range []view.Version{{Edition: 5, Epoch: 1, Revision: 50}, {Edition: 4, Epoch: 2, Revision: 40}, {Edition: 4, Epoch: 2, Revision: 41}, {Edition: 5, Epoch: 2, Revision: 42}} {
+		text := ruleText + fmt.Sprintf("# edition %d\n", v.Edition)
+		_, out := g.DocumentRead(event.DocumentRead{At: now.Add(time.Duration(n) * time.Second), Document: event.Rules, Text: text, Edition: v.Edition, Epoch: v.Epoch, Revision: v.Revision}, 1, nil)
+		for _, e := range out {
+			if e, ok := e.(effect.LogEvent); ok && strings.Contains(e.Text, "edition 4 is older than 5") {
+				logged++
+			}
+		}
+	}
+	c.Check(logged, qt.Equals, 1)
+	c.Check(g.Versions(now).Rules.Edition, qt.Equals, uint64(5))
+}
