fix(io/pool): a reset that a write of the request gets is no end of the response

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the system reports the failure of a connection once, to a write or to a read. When the write of the upload got the reset, the read of the response got an end of file, which ends a body without a length.

Change: when such a response ends with its connection, the transport stops writing the request, awaits a write that is under way, and fails the body if a write returned a failure of the connection. EPIPE is none: the server had closed in order before. All responses of backend servers, of other nodes and of the store are read here. The test for a length moves from io/gate to io/pool.

Why this works: a read returns an end without an orderly close only after a write has returned the failure, and the end of the body awaits that write.

--- a/io/front/early_test.go
+++ b/io/front/early_test.go
@@ -238,3 +238,88 @@
 		}
 	}
 }
+
+// TestResetOfEarlyResponseIsNoEnd guards against an early response without a length whose connection is
+// reset while a long body is still being sent: its caller must not take the part that arrived for the
+// whole.
+func TestResetOfEarlyResponseIsNoEnd(t *testing.T) {
+	body := make([]byte, 100*uploadPiece)
+	for _, size := range []int{0, 4, 100_000} {
+		for _, chunked := range []bool{false, true} {
+			for _, target := range []string{"PUT /lines/a", "POST /claims"} {
+				for _, nodes := range []int{1, 2} {
+					t.Run(fmt.Sprintf("%d bytes, %s, chunked %v, %d nodes", size, target, chunked, nodes), func(t *testing.T) {
+						c := qt.New(t)
+						address := newResettingServer(c, "HTTP/1.1 200 OK\r\n\r\n"+string(bytes.Repeat([]byte("r"), size)))
+						n := newTestNodeOptions(c, longBodyRules, "filing-1", address, netip.AddrPort{}, Options{HideTickets: true})
+						if nodes == 2 {
+							n = newTestNodeOptions(c, longBodyRules, "desk-1", address, addressOf(n.nodes), Options{HideTickets: true})
+						}
+						for range 5 {
+							conn, err := net.Dial("tcp", addressOf(n.callers).String())
+							c.Assert(err, qt.IsNil)
+							uploaded := make(chan struct{})
+							go func() {
+								startUpload(c, conn, target, body, chunked)()
+								close(uploaded)
+							}()
+							checkIsNoSuccess(c, conn)
+							c.Check(conn.Close(), qt.IsNil)
+							<-uploaded
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// longBodyRules allow bodies that are longer than the buffers of a connection.
+const longBodyRules = `
+service filing slots=10 cold=10 warm=1   # Test: one service
+route * /claims service=filing idempotent=no body=2MB   # Test: claims
+route * /lines/* service=filing idempotent=yes body=2MB   # Test: lookups
+budget hedge=0%   # Test: one attempt each
+`
+
+// newResettingServer starts a backend server that sends response before it reads the body of a request,
+// and then resets the connection.
+func newResettingServer(c *qt.C, response string) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, response)
+				// The node reads the response while it writes the body.
+				time.Sleep(2 * uploadPause)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// checkIsNoSuccess checks that the response on a connection fails, or breaks off before its end.
+func checkIsNoSuccess(c *qt.C, conn net.Conn) {
+	c.Assert(conn.SetReadDeadline(time.Now().Add(hangTime)), qt.IsNil)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	var late net.Error
+	if err != nil {
+		c.Check(errors.As(err, &late) && late.Timeout(), qt.IsFalse)
+		return
+	}
+	got, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	c.Check(errors.As(err, &late) && late.Timeout(), qt.IsFalse)
+	c.Check(err != nil || isFailure(r), qt.IsTrue, qt.Commentf("status %d, %d bytes looked complete", r.StatusCode, len(got)))
+}
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -48,7 +48,7 @@
 		cancel(nil)
 		return ah.reportFailure(event.ExchangeEnded{Failure: f, Latency: spent, ServerLoad: info.ServerLoad})
 	}
-	if !ah.gate.options.AcceptCloseDelimited && !hasDelimitedBody(r) {
+	if !ah.gate.options.AcceptCloseDelimited && !pool.IsDelimited(r) {
 		closeBody(r.Body)
 		cancel(nil)
 		return ah.reportFailure(event.ExchangeEnded{Failure: event.Reset, Latency: spent})
@@ -121,15 +121,6 @@
 	return n, err
 }
 
-// hasDelimitedBody reports whether the end of the response r can be distinguished
-// from a broken connection: its length is known, it is chunked, or it has no body.
-func hasDelimitedBody(r *http.Response) bool {
-	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
-		return true
-	}
-	return r.Request != nil && r.Request.Method == http.MethodHead
-}
-
 // handleExchangeError returns the response to an attempt for which the backend
 // server sent no response header.
 func (ah *attemptHandler) handleExchangeError(ctx context.Context, err error, spent time.Duration) proto.Response {
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -37,6 +37,10 @@
 	// bodyWriting reports that the body of the current request is still being
 	// written, or that writing it failed.
 	bodyWriting atomic.Bool
+	// writeMutex is held while bytes of the current request are written. It guards writeFailure.
+	writeMutex sync.Mutex
+	// writeFailure is the failure of the connection that a write returned, or nil.
+	writeFailure error
 	// continued is closed when the server sends 100 Continue, and done when the
 	// exchange has ended.
 	continued chan struct{}
@@ -65,8 +69,36 @@
 
 // Write writes a part of a request.
 func (m writeTracker) Write(b []byte) (int, error) {
-	m.conn.written.Store(true)
-	return m.conn.Write(b)
+	c := m.conn
+	c.written.Store(true)
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	n, err := c.Write(b)
+	if c.writeFailure == nil && isConnectionFailure(err) {
+		c.writeFailure = err
+	}
+	return n, err
+}
+
+// isConnectionFailure reports whether a write failed because the connection broke off. EPIPE is not
+// such a failure: the server had closed the connection in order before.
+func isConnectionFailure(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
+
+// endWriting stops writing the current request and returns the failure of the connection that a
+// write returned, or nil.
+//
+// The system reports such a failure once, to a write or to a read. Reads that come after such a write
+// return io.EOF, as they do after an orderly end.
+func (c *conn) endWriting() error {
+	// A write may wait for a server that reads no more. An error means that the connection is
+	// closed, where no write waits.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	return c.writeFailure
 }
 
 // requestBody is a request body that records whether it was read. If the
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -116,6 +116,26 @@
 // Error describes the fault.
 func (e *StatusError) Error() string { return fmt.Sprintf("invalid status %03d", e.Status) }
 
+// TruncatedError reports a response without a length whose connection broke off.
+type TruncatedError struct {
+	Cause error
+}
+
+// Error describes the cause.
+func (e *TruncatedError) Error() string { return fmt.Sprintf("response breaks off: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *TruncatedError) Unwrap() error { return e.Cause }
+
+// IsDelimited reports whether the end of a response can be told from a broken connection by the
+// response itself: its length is known, it is chunked, or it has no body.
+func IsDelimited(a *http.Response) bool {
+	if a.ContentLength >= 0 || len(a.TransferEncoding) > 0 {
+		return true
+	}
+	return a.Request != nil && a.Request.Method == http.MethodHead
+}
+
 // maxStatus is the largest status of HTTP.
 const maxStatus = 599
 
@@ -268,7 +288,10 @@
 	if err != nil {
 		return fail(err)
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, transport: t, conn: c, stop: stop, reuse: t.mayReuse(r, response), context: r.Context()}
+	response.Body = &responseBody{
+		ReadCloser: response.Body, transport: t, conn: c, context: r.Context(), stop: stop,
+		reuse: t.mayReuse(r, response), delimited: IsDelimited(response),
+	}
 	c.keepAlive = keepAliveTimeout(response)
 	if response.ContentLength == 0 || r.Method == http.MethodHead {
 		response.Body.(*responseBody).release(true)
@@ -323,12 +346,21 @@
 	context   context.Context
 	stop      func() bool
 	reuse     bool
+	// delimited reports that the body itself tells where it ends. Otherwise it ends with the
+	// connection.
+	delimited bool
 	once      sync.Once
 }
 
-// Read reads the body.
+// Read reads the body. It fails with a *TruncatedError if only a write of the request told that the
+// connection broke off.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.delimited {
+		if failure := b.conn.endWriting(); failure != nil {
+			err = &TruncatedError{Cause: failure}
+		}
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.release(true)
--- /dev/null
+++ b/io/pool/reset_test.go
@@ -0,0 +1,118 @@
+package pool
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// endlessBody is a request body without end, in pieces of pieceSize bytes.
+type endlessBody struct{}
+
+// pieceSize is the size in bytes of the pieces of an endlessBody.
+const pieceSize = 2 << 10
+
+// Read fills a piece of p.
+func (endlessBody) Read(p []byte) (int, error) { return min(len(p), pieceSize), nil }
+
+// startEarlyServer starts a server that sends response when it has read the head of a request, waits
+// for pause, and then ends the connection with end. It returns its URL.
+func startEarlyServer(c *qt.C, response string, pause time.Duration, end func(conn *net.TCPConn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(pause)
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// readEarlyResponse sends a request with an endless body and reads the response.
+func readEarlyResponse(c *qt.C, t *Transport, url string) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, url, endlessBody{})
+	c.Assert(err, qt.IsNil)
+	r.ContentLength = -1
+	a, err := t.RoundTrip(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	got, err := io.ReadAll(a.Body)
+	return string(got), err
+}
+
+// TestResetWhileBodyIsWrittenIsNoEnd guards against a response without a length whose connection
+// is reset while the request body is still being written: what arrived of it is not the whole.
+func TestResetWhileBodyIsWrittenIsNoEnd(t *testing.T) {
+	ends := map[string]func(conn *net.TCPConn){
+		"reset": func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		},
+		// Bytes that the server has not read turn the close into a reset.
+		"closed": func(conn *net.TCPConn) {
+			for w := newConn(conn, ""); !w.isReadable(); {
+				time.Sleep(100 * time.Microsecond)
+			}
+			_ = conn.Close()
+		},
+	}
+	for name, end := range ends {
+		for _, response := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.0 200 OK\r\n\r\nhalf"} {
+			for _, pause := range []time.Duration{0, time.Millisecond} {
+				t.Run(fmt.Sprintf("%s after %v, %q", name, pause, response), func(t *testing.T) {
+					c := qt.New(t)
+					url := startEarlyServer(c, response, pause, end)
+					tr := newTransport(c)
+					for range 40 {
+						got, err := readEarlyResponse(c, tr, url)
+						c.Assert(err, qt.IsNotNil, qt.Commentf("%q looked complete", got))
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestOrderlyEndWhileBodyIsWritten guards against the loss of a response without a length that is
+// complete before the server has read the request body.
+func TestOrderlyEndWhileBodyIsWritten(t *testing.T) {
+	ends := map[string]func(conn *net.TCPConn){
+		"reads no more": func(conn *net.TCPConn) { _ = conn.CloseWrite() },
+		"reads on": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			url := startEarlyServer(c, "HTTP/1.1 200 OK\r\n\r\nwhole", time.Millisecond, end)
+			tr := newTransport(c)
+			for range 40 {
+				got, err := readEarlyResponse(c, tr, url)
+				c.Assert(err, qt.IsNil)
+				c.Assert(got, qt.Equals, "whole")
+			}
+		})
+	}
+}
