fix(io/bound): a head with a line that is no field is no response

Callers saw: a backend server in trouble sent a response in whose head the name of a field held a blank. The caller got it as a response, without that line. Where the line was to tell the length or the transfer coding, and responses may end with their connection, the caller got all bytes up to the close as the body, chunk sizes included. Control bytes in names were refused before.

Cause: the reader of net/http takes names with blanks, and takes a line that begins with a blank for a part of the value before. Nothing else looked at the lines.

Change: the reader that follows heads for their size fails at the first line that is not a field. Values that go on in a further line, which senders must not generate, are refused with it: they cannot be told from a name that begins with a blank.

Why this works: all responses of backend servers, of other nodes and of the store pass this reader byte by byte before they are parsed, interim ones too. The exchange fails, the connection is closed, and the caller gets the outcome.

--- a/io/bound/bound.go
+++ b/io/bound/bound.go
@@ -1,9 +1,14 @@
-// Package bound limits the heads of HTTP messages that are read from a connection. The
-// parsers of net/http and net/textproto read a line or a header of any size into memory,
-// so that a peer that sends without end would exhaust it.
+// Package bound checks the heads of HTTP messages that are read from a connection, where the
+// parsers of net/http and net/textproto are too lenient:
 //
-// A Reader follows the framing of heads only: it counts bytes and lines up to the blank
-// line that ends a head, and passes on what follows without counting.
+//   - they read a line or a header of any size into memory, so that a peer that sends without end
+//     would exhaust it;
+//   - they take names of fields with blanks in them, so that "Content-Length : 2" is no length, and
+//     take a line that begins with a blank for a part of the line before. Such a head is invalid
+//     (RFC 9112, 5.1 and 5.2).
+//
+// A Reader follows the framing of heads only: it checks bytes and lines up to the blank
+// line that ends a head, and passes on what follows unchecked.
 //
 // # Usage
 //
@@ -11,8 +16,8 @@
 //	buffered := bufio.NewReader(r)
 //	r.Begin(nil)
 //	response, err := http.ReadResponse(buffered, request)
-//	var large *bound.HeadError
-//	if errors.As(err, &large) {
+//	var invalid *bound.HeadError
+//	if errors.As(err, &invalid) {
 //		return conn.Close()
 //	}
 package bound
@@ -20,6 +25,8 @@
 import (
 	"fmt"
 	"io"
+
+	"bulrushlock/io/frame"
 )
 
 // Limits are the maximum size of all heads of one exchange.
@@ -31,18 +38,24 @@
 	Lines int
 }
 
-// HeadError reports heads that exceed their limits.
+// HeadError reports heads that exceed their limits, or that have a line which is not a field.
 type HeadError struct {
 	Limits Limits
+	// Line is the number of the line that is not a field. The lines of all heads of the exchange count.
+	// It is 0 if the heads exceed their limits.
+	Line int
 }
 
-// Error names the limits.
+// Error names the line or the limits.
 func (e *HeadError) Error() string {
+	if e.Line > 0 {
+		return fmt.Sprintf("line %d of the head of the message is not a field", e.Line)
+	}
 	return fmt.Sprintf("head of the message exceeds %d bytes or %d lines", e.Limits.Bytes, e.Limits.Lines)
 }
 
-// Reader reads from a connection and fails once heads exceed their limits. It is not safe
-// for concurrent use.
+// Reader reads from a connection and fails once heads are invalid. It is not safe for
+// concurrent use.
 type Reader struct {
 	source io.Reader
 	limits Limits
@@ -50,6 +63,9 @@
 	bytes, lines int
 	// inHead reports that the bytes read next belong to a head.
 	inHead bool
+	// inName reports that the next byte belongs to the name of a field, or to the line that ends
+	// the head.
+	inName bool
 	// lineLength is the number of bytes of the current line, without a carriage return
 	// at its start.
 	lineLength int
@@ -72,34 +88,39 @@
 // Next starts a further head of the same exchange, such as the one after an informational
 // response. The limits apply to all heads together. It fails with a *HeadError.
 func (r *Reader) Next(buffered []byte) error {
-	r.inHead, r.lineLength = true, 0
-	return r.count(buffered)
+	r.inHead, r.inName, r.lineLength = true, false, 0
+	return r.check(buffered)
 }
 
 // Read reads from the connection. It fails with a *HeadError once the heads of the exchange
-// exceed their limits.
+// are invalid.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.failed != nil {
 		return 0, r.failed
 	}
 	n, err := r.source.Read(p)
-	if failed := r.count(p[:n]); failed != nil {
+	if failed := r.check(p[:n]); failed != nil {
 		return 0, failed
 	}
 	return n, err
 }
 
-// count counts the bytes of b up to the end of the head.
-func (r *Reader) count(b []byte) error {
+// check checks the bytes of b up to the end of the head.
+func (r *Reader) check(b []byte) error {
 	for _, character := range b {
 		if !r.inHead {
 			return nil
 		}
+		if r.inName && !r.isValidInName(character) {
+			r.failed = &HeadError{Limits: r.limits, Line: r.lines + 1}
+			return r.failed
+		}
 		r.bytes++
 		switch {
 		case character == '\n':
 			r.lines++
 			r.inHead = r.lineLength > 0
+			r.inName = r.inHead
 			r.lineLength = 0
 		case character == '\r' && r.lineLength == 0:
 			// A line of a carriage return alone is blank. Two of them are not.
@@ -107,6 +128,7 @@
 		case r.lineLength == carriageReturn:
 			r.lineLength = 1
 		default:
+			r.inName = r.inName && character != ':'
 			r.lineLength++
 		}
 		if r.bytes > r.limits.Bytes || r.lines > r.limits.Lines {
@@ -117,6 +139,20 @@
 	return nil
 }
 
+// isValidInName reports whether a byte may follow in a line of which only a part of a name was read: a
+// further byte of the name, the colon behind it, or the end of an empty line.
+func (r *Reader) isValidInName(character byte) bool {
+	switch {
+	case r.lineLength == carriageReturn:
+		return character == '\n'
+	case character == '\r' || character == '\n':
+		return r.lineLength == 0
+	case character == ':':
+		return r.lineLength > 0
+	}
+	return frame.IsToken(character)
+}
+
 // carriageReturn is the length of a line that so far is a carriage return alone. It is not
 // positive, so that a line feed ends the head.
 const carriageReturn = -1
--- a/io/bound/bound_test.go
+++ b/io/bound/bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -71,6 +72,23 @@
 	}
 }
 
+func TestLineThatIsNoFieldFails(t *testing.T) {
+	for _, line := range []string{"A b: c", "a : b", "a\t: b", " a: b", "\ta: b", " ", "a\x00b: c", "a\x7f: b", "\xe9: a", "a\r: b", "\r", ": a", "a", "(a): b"} {
+		text := "HTTP/1.1 200 OK\r\na: b c :\r\n" + line + "\r\n\r\nbody"
+		for name, source := range map[string]io.Reader{"at once": strings.NewReader(text), "in parts": iotest.OneByteReader(strings.NewReader(text))} {
+			t.Run(fmt.Sprintf("%q %s", line, name), func(t *testing.T) {
+				c := qt.New(t)
+				r := New(source, Limits{Bytes: 100, Lines: 6})
+				c.Assert(r.Begin(nil), qt.IsNil)
+				_, err := io.ReadAll(r)
+				var head *HeadError
+				c.Assert(errors.As(err, &head), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(head.Line, qt.Equals, 3)
+			})
+		}
+	}
+}
+
 func TestBodyIsNotCounted(t *testing.T) {
 	c := qt.New(t)
 	body := strings.Repeat("\n", 10_000)
--- a/io/frame/class.go
+++ b/io/frame/class.go
@@ -34,6 +34,9 @@
 	return table
 }()
 
+// IsToken reports whether c may stand in a method or in the name of a field (RFC 9110, 5.6.2).
+func IsToken(c byte) bool { return classes[c]&isToken != 0 }
+
 // span returns the number of bytes at the start of b that belong to c.
 func span(b []byte, c class) int {
 	for i, character := range b {
--- a/io/front/broken_test.go
+++ b/io/front/broken_test.go
@@ -91,8 +91,13 @@
 
 // sendToEach calls check with the result of a lookup and of a claim, each over one node and over two.
 func sendToEach(c *qt.C, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
-	one := newTestNode(c, "filing-1", server, netip.AddrPort{})
-	two := newTestNode(c, "desk-1", server, addressOf(one.nodes))
+	sendToEachWith(c, Options{}, server, check)
+}
+
+// sendToEachWith is sendToEach with options for callers.
+func sendToEachWith(c *qt.C, o Options, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
+	one := newTestNodeOptions(c, testRules, "filing-1", server, netip.AddrPort{}, o)
+	two := newTestNodeOptions(c, testRules, "desk-1", server, addressOf(one.nodes), o)
 	for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
 		for _, target := range []string{"GET /lines/a", "POST /claims"} {
 			method, path, _ := strings.Cut(target, " ")
