test(io/pool): a whole response is lost when its connection is reset during the upload

No caller gets a part as the whole.

Cause: the error of http.Request.Write hides the failure of a body's write from errors.Is. The writer takes it for a body that cannot be read and closes the connection.

--- a/io/pool/reset_test.go
+++ b/io/pool/reset_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,8 +47,8 @@
 	return "http://" + l.Addr().String()
 }
 
-// readEarlyResponse sends a request with an endless body and reads the response.
-func readEarlyResponse(c *qt.C, t *Transport, url string) (string, error) {
+// readEarlyResponse sends a request with an endless body and reads the response after a delay.
+func readEarlyResponse(c *qt.C, t *Transport, url string, delay time.Duration) (string, error) {
 	r, err := http.NewRequest(http.MethodPost, url, endlessBody{})
 	c.Assert(err, qt.IsNil)
 	r.ContentLength = -1
@@ -56,6 +57,7 @@
 		return "", err
 	}
 	defer func() { _ = a.Body.Close() }()
+	time.Sleep(delay)
 	got, err := io.ReadAll(a.Body)
 	return string(got), err
 }
@@ -84,7 +86,7 @@
 					url := startEarlyServer(c, response, pause, end)
 					tr := newTransport(c)
 					for range 40 {
-						got, err := readEarlyResponse(c, tr, url)
+						got, err := readEarlyResponse(c, tr, url, 0)
 						c.Assert(err, qt.IsNotNil, qt.Commentf("%q looked complete", got))
 					}
 				})
@@ -109,10 +111,28 @@
 			url := startEarlyServer(c, "HTTP/1.1 200 OK\r\n\r\nwhole", time.Millisecond, end)
 			tr := newTransport(c)
 			for range 40 {
-				got, err := readEarlyResponse(c, tr, url)
+				got, err := readEarlyResponse(c, tr, url, 0)
 				c.Assert(err, qt.IsNil)
 				c.Assert(got, qt.Equals, "whole")
 			}
 		})
 	}
 }
+
+// TestWholeResponseOutlivesReset guards against the loss of a response that has arrived whole when its
+// connection is reset, as the write of the request body fails before the response is read.
+func TestWholeResponseOutlivesReset(t *testing.T) {
+	c := qt.New(t)
+	// The text is longer than the buffer that reads it with the head.
+	text := strings.Repeat("whole", readBufferSize)
+	url := startEarlyServer(c, responseText(text), time.Millisecond, func(conn *net.TCPConn) {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	tr := newTransport(c)
+	for range 20 {
+		got, err := readEarlyResponse(c, tr, url, 5*time.Millisecond)
+		c.Check(err, qt.IsNil)
+		c.Check(got == text, qt.IsTrue, qt.Commentf("%d of %d bytes", len(got), len(text)))
+	}
+}
