test(io/fake): one server for early responses

It moves to io/fake. A server that closes its direction only now keeps its connection for a while, so that it is not closed by the garbage collector while the response is read. The upload begins in the goroutine of the test, which alone may end it.

--- a/io/fake/raw.go
+++ b/io/fake/raw.go
@@ -13,6 +13,8 @@
 type RawServer struct {
 	listener net.Listener
 	serve    func(n int32, r *http.Request, c net.Conn)
+	// early reports that serve is called before the body of a request is read.
+	early    bool
 	requests atomic.Int32
 }
 
@@ -20,11 +22,22 @@
 // request's number, starting at 1, the request with its body already consumed, and
 // the connection. It returns an error if it cannot listen.
 func NewRawServer(serve func(n int32, r *http.Request, c net.Conn)) (*RawServer, error) {
+	return newRawServer(serve, false)
+}
+
+// NewEarlyServer starts a server on loopback that reads no request body. It calls serve as that of
+// NewRawServer does, and closes the connection when serve has returned.
+func NewEarlyServer(serve func(n int32, r *http.Request, c net.Conn)) (*RawServer, error) {
+	return newRawServer(serve, true)
+}
+
+// newRawServer starts a server on loopback.
+func newRawServer(serve func(n int32, r *http.Request, c net.Conn), early bool) (*RawServer, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &RawServer{listener: l, serve: serve}
+	s := &RawServer{listener: l, serve: serve, early: early}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -55,6 +68,10 @@
 		if err != nil {
 			return
 		}
+		if s.early {
+			s.serve(s.requests.Add(1), r, c)
+			return
+		}
 		// A truncated body surfaces as an error when the next request is read.
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.serve(s.requests.Add(1), r, c)
--- a/io/front/early_test.go
+++ b/io/front/early_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/io/fake"
 )
 
 // receivedBody is a request body as a backend server read it to its end; err is nil if it looked
@@ -258,9 +260,10 @@
 						for range 5 {
 							conn, err := net.Dial("tcp", addressOf(n.callers).String())
 							c.Assert(err, qt.IsNil)
+							finish := startUpload(c, conn, target, body, chunked)
 							uploaded := make(chan struct{})
 							go func() {
-								startUpload(c, conn, target, body, chunked)()
+								finish()
 								close(uploaded)
 							}()
 							checkIsNoSuccess(c, conn)
@@ -285,28 +288,15 @@
 // newResettingServer starts a backend server that sends response before it reads the body of a request,
 // and then resets the connection.
 func newResettingServer(c *qt.C, response string) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := fake.NewEarlyServer(func(_ int32, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, response)
+		// The node reads the response while it writes the body.
+		time.Sleep(2 * uploadPause)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, response)
-				// The node reads the response while it writes the body.
-				time.Sleep(2 * uploadPause)
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+	c.Cleanup(func() { _ = s.Close() })
+	return netip.MustParseAddrPort(s.Addr().String())
 }
 
 // checkIsNoSuccess checks that the response on a connection fails, or breaks off before its end.
--- a/io/pool/reset_test.go
+++ b/io/pool/reset_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bulrushlock/io/fake"
 )
 
 // endlessBody is a request body without end, in pieces of pieceSize bytes.
@@ -23,30 +24,21 @@
 func (endlessBody) Read(p []byte) (int, error) { return min(len(p), pieceSize), nil }
 
 // startEarlyServer starts a server that sends response when it has read the head of a request, waits
-// for pause, and then ends the connection with end. It returns its URL.
+// for pause, calls end and closes the connection. It returns its URL.
 func startEarlyServer(c *qt.C, response string, pause time.Duration, end func(conn *net.TCPConn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := fake.NewEarlyServer(func(_ int32, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, response)
+		time.Sleep(pause)
+		end(conn.(*net.TCPConn))
+	})
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, response)
-				time.Sleep(pause)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	c.Cleanup(func() { _ = s.Close() })
+	return "http://" + s.Addr().String()
 }
 
+// reset makes the close of a connection a reset.
+func reset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+
 // readEarlyResponse sends a request with an endless body and reads the response after a delay.
 func readEarlyResponse(c *qt.C, t *Transport, url string, delay time.Duration) (string, error) {
 	r, err := http.NewRequest(http.MethodPost, url, endlessBody{})
@@ -66,16 +58,12 @@
 // is reset while the request body is still being written: what arrived of it is not the whole.
 func TestResetWhileBodyIsWrittenIsNoEnd(t *testing.T) {
 	ends := map[string]func(conn *net.TCPConn){
-		"reset": func(conn *net.TCPConn) {
-			_ = conn.SetLinger(0)
-			_ = conn.Close()
-		},
+		"reset": reset,
 		// Bytes that the server has not read turn the close into a reset.
 		"closed": func(conn *net.TCPConn) {
 			for w := newConn(conn, ""); !w.isReadable(); {
 				time.Sleep(100 * time.Microsecond)
 			}
-			_ = conn.Close()
 		},
 	}
 	for name, end := range ends {
@@ -99,7 +87,10 @@
 // complete before the server has read the request body.
 func TestOrderlyEndWhileBodyIsWritten(t *testing.T) {
 	ends := map[string]func(conn *net.TCPConn){
-		"reads no more": func(conn *net.TCPConn) { _ = conn.CloseWrite() },
+		"reads no more": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+		},
 		"reads on": func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, conn)
@@ -125,10 +116,7 @@
 	c := qt.New(t)
 	// The text is longer than the buffer that reads it with the head.
 	text := strings.Repeat("whole", readBufferSize)
-	url := startEarlyServer(c, responseText(text), time.Millisecond, func(conn *net.TCPConn) {
-		_ = conn.SetLinger(0)
-		_ = conn.Close()
-	})
+	url := startEarlyServer(c, responseText(text), time.Millisecond, reset)
 	tr := newTransport(c)
 	for range 20 {
 		got, err := readEarlyResponse(c, tr, url, 5*time.Millisecond)
