test(io/front, io/fake): one piece each for early servers, nodes, rules and refused responses

Change: NewEarlyServer goes on with the next request, so that earlyServer uses it; newTestNodes, checkIsNoResponse and bodyRules serve all who need them; sendToEach takes options. The assertions are as they were, and the status check prints the body too. A comment in io/pool says what writeTracker records. The program's code is unchanged.

--- a/io/fake/raw.go
+++ b/io/fake/raw.go
@@ -25,8 +25,8 @@
 	return newRawServer(serve, false)
 }
 
-// NewEarlyServer starts a server on loopback that reads no request body. It calls serve as that of
-// NewRawServer does, and closes the connection when serve has returned.
+// NewEarlyServer starts a server on loopback that calls serve as that of NewRawServer does, but before it
+// consumes the body, which serve may read. A body that cannot be read to its end ends the connection.
 func NewEarlyServer(serve func(n int32, r *http.Request, c net.Conn)) (*RawServer, error) {
 	return newRawServer(serve, true)
 }
@@ -70,7 +70,10 @@
 		}
 		if s.early {
 			s.serve(s.requests.Add(1), r, c)
-			return
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			continue
 		}
 		// A truncated body surfaces as an error when the next request is read.
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/io/front/broken_test.go
+++ b/io/front/broken_test.go
@@ -86,16 +86,12 @@
 // forEachTarget calls check with the result of each request of sendToEach, at a backend server that
 // sends r.
 func forEachTarget(c *qt.C, r brokenResponse, check func(c *qt.C, response *http.Response, err error, target string)) {
-	sendToEach(c, startBrokenServer(c, r), check)
+	sendToEach(c, Options{}, startBrokenServer(c, r), check)
 }
 
-// sendToEach calls check with the result of a lookup and of a claim, each over one node and over two.
-func sendToEach(c *qt.C, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
-	sendToEachWith(c, Options{}, server, check)
-}
-
-// sendToEachWith is sendToEach with options for callers.
-func sendToEachWith(c *qt.C, o Options, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
+// sendToEach calls check with the result of a lookup and of a claim, each over one node and over two, which
+// have the options o for callers.
+func sendToEach(c *qt.C, o Options, server netip.AddrPort, check func(c *qt.C, response *http.Response, err error, target string)) {
 	one := newTestNodeOptions(c, testRules, "filing-1", server, netip.AddrPort{}, o)
 	two := newTestNodeOptions(c, testRules, "desk-1", server, addressOf(one.nodes), o)
 	for name, base := range map[string]string{"one node": one.callers.URL, "two nodes": two.callers.URL} {
--- a/io/front/early_test.go
+++ b/io/front/early_test.go
@@ -36,48 +36,28 @@
 
 // newEarlyServer starts a backend server that sends response.
 func newEarlyServer(c *qt.C, response string) earlyServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	s := earlyServer{address: netip.MustParseAddrPort(l.Addr().String()), responded: make(chan struct{}, 8), bodies: make(chan receivedBody, 8)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn, response)
-		}
-	}()
-	return s
-}
-
-// serve serves one connection.
-func (s earlyServer) serve(conn net.Conn, response string) {
-	defer func() { _ = conn.Close() }()
-	b := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(b)
-		if err != nil {
-			return
-		}
+	s := earlyServer{responded: make(chan struct{}, 8), bodies: make(chan receivedBody, 8)}
+	s.address = startEarlyServer(c, func(r *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, response)
 		s.responded <- struct{}{}
 		body, err := io.ReadAll(r.Body)
 		s.bodies <- receivedBody{bytes: body, err: err}
-		if err != nil {
-			return
-		}
-	}
+	})
+	return s
+}
+
+// startEarlyServer starts a backend server that calls serve with each request before it reads the body.
+func startEarlyServer(c *qt.C, serve func(r *http.Request, conn net.Conn)) netip.AddrPort {
+	s, err := fake.NewEarlyServer(func(_ int32, r *http.Request, conn net.Conn) { serve(r, conn) })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = s.Close() })
+	return netip.MustParseAddrPort(s.Addr().String())
 }
 
 // dial connects to the listener for callers of a node that reaches the backend server over the given
 // number of nodes, one or two.
 func (s earlyServer) dial(c *qt.C, nodes int) net.Conn {
-	n := newTestNode(c, "filing-1", s.address, netip.AddrPort{})
-	if nodes == 2 {
-		n = newTestNode(c, "desk-1", s.address, addressOf(n.nodes))
-	}
+	n := newTestNodes(c, testRules, s.address, nodes, Options{})
 	conn, err := net.Dial("tcp", addressOf(n.callers).String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
@@ -253,10 +233,7 @@
 					t.Run(fmt.Sprintf("%d bytes, %s, chunked %v, %d nodes", size, target, chunked, nodes), func(t *testing.T) {
 						c := qt.New(t)
 						address := newResettingServer(c, "HTTP/1.1 200 OK\r\n\r\n"+string(bytes.Repeat([]byte("r"), size)))
-						n := newTestNodeOptions(c, longBodyRules, "filing-1", address, netip.AddrPort{}, Options{HideTickets: true})
-						if nodes == 2 {
-							n = newTestNodeOptions(c, longBodyRules, "desk-1", address, addressOf(n.nodes), Options{HideTickets: true})
-						}
+						n := newTestNodes(c, bodyRules, address, nodes, Options{HideTickets: true})
 						for range 5 {
 							conn, err := net.Dial("tcp", addressOf(n.callers).String())
 							c.Assert(err, qt.IsNil)
@@ -277,26 +254,16 @@
 	}
 }
 
-// longBodyRules allow bodies that are longer than the buffers of a connection.
-const longBodyRules = `
-service filing slots=10 cold=10 warm=1   # Test: one service
-route * /claims service=filing idempotent=no body=2MB   # Test: claims
-route * /lines/* service=filing idempotent=yes body=2MB   # Test: lookups
-budget hedge=0%   # Test: one attempt each
-`
-
 // newResettingServer starts a backend server that sends response before it reads the body of a request,
 // and then resets the connection.
 func newResettingServer(c *qt.C, response string) netip.AddrPort {
-	s, err := fake.NewEarlyServer(func(_ int32, _ *http.Request, conn net.Conn) {
+	return startEarlyServer(c, func(_ *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, response)
 		// The node reads the response while it writes the body.
 		time.Sleep(2 * uploadPause)
 		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
 	})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = s.Close() })
-	return netip.MustParseAddrPort(s.Addr().String())
 }
 
 // checkIsNoSuccess checks that the response on a connection fails, or breaks off before its end.
--- a/io/front/fields_test.go
+++ b/io/front/fields_test.go
@@ -1,18 +1,12 @@
 package front
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/netip"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"bulrushlock/io/fake"
 )
 
 // invalidHeads are responses with a line in their heads that is no field (RFC 9112, 5).
@@ -50,22 +44,10 @@
 		for _, isPlatform := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, ends with its connection %v", name, isPlatform), func(t *testing.T) {
 				c := qt.New(t)
-				s, err := fake.NewRawServer(func(_ int32, _ *http.Request, conn net.Conn) {
+				checkIsNoResponse(c, Options{HideTickets: isPlatform}, func(conn net.Conn) {
 					_, _ = io.WriteString(conn, text)
 					_ = conn.Close()
 				})
-				c.Assert(err, qt.IsNil)
-				c.Cleanup(func() { _ = s.Close() })
-				began := time.Now()
-				o := Options{HideTickets: isPlatform}
-				sendToEachWith(c, o, netip.MustParseAddrPort(s.Addr().String()), func(c *qt.C, response *http.Response, err error, target string) {
-					c.Assert(err, qt.IsNil, qt.Commentf("%s", target))
-					got, err := io.ReadAll(response.Body)
-					c.Check(errors.Join(err, response.Body.Close()), qt.IsNil)
-					c.Check(isFailure(response), qt.IsTrue, qt.Commentf("%s: status %d, body %q", target, response.StatusCode, got))
-				})
-				// The routes allow 5 s and 8 s for each request.
-				c.Check(time.Since(began) < 4*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			})
 		}
 	}
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -92,6 +92,16 @@
 	return p
 }
 
+// newTestNodes returns a node that reaches the backend server at server over the given number of nodes,
+// one or two.
+func newTestNodes(c *qt.C, rules string, server netip.AddrPort, nodes int, o Options) testNode {
+	n := newTestNodeOptions(c, rules, "filing-1", server, netip.AddrPort{}, o)
+	if nodes == 2 {
+		n = newTestNodeOptions(c, rules, "desk-1", server, addressOf(n.nodes), o)
+	}
+	return n
+}
+
 // addressOf returns the address of a server.
 func addressOf(s *httptest.Server) netip.AddrPort {
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
--- a/io/front/status_test.go
+++ b/io/front/status_test.go
@@ -34,20 +34,24 @@
 		t.Run(strings.Fields(text)[1], func(t *testing.T) {
 			c := qt.New(t)
 			// The backend server keeps its connections open.
-			s, err := fake.NewRawServer(func(_ int32, _ *http.Request, conn net.Conn) {
-				_, _ = io.WriteString(conn, text)
-			})
-			c.Assert(err, qt.IsNil)
-			c.Cleanup(func() { _ = s.Close() })
-			began := time.Now()
-			sendToEach(c, netip.MustParseAddrPort(s.Addr().String()), func(c *qt.C, response *http.Response, err error, target string) {
-				c.Assert(err, qt.IsNil, qt.Commentf("%s", target))
-				_, err = io.ReadAll(response.Body)
-				c.Check(errors.Join(err, response.Body.Close()), qt.IsNil)
-				c.Check(isFailure(response), qt.IsTrue, qt.Commentf("%s: status %d", target, response.StatusCode))
-			})
-			// The routes allow 5 s and 8 s for each request.
-			c.Check(time.Since(began) < 4*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			checkIsNoResponse(c, Options{}, func(conn net.Conn) { _, _ = io.WriteString(conn, text) })
 		})
 	}
 }
+
+// checkIsNoResponse checks that callers of nodes with the options o are told at once that their requests
+// failed, where the backend server calls serve with the connection of each request.
+func checkIsNoResponse(c *qt.C, o Options, serve func(conn net.Conn)) {
+	s, err := fake.NewRawServer(func(_ int32, _ *http.Request, conn net.Conn) { serve(conn) })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = s.Close() })
+	began := time.Now()
+	sendToEach(c, o, netip.MustParseAddrPort(s.Addr().String()), func(c *qt.C, response *http.Response, err error, target string) {
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", target))
+		got, err := io.ReadAll(response.Body)
+		c.Check(errors.Join(err, response.Body.Close()), qt.IsNil)
+		c.Check(isFailure(response), qt.IsTrue, qt.Commentf("%s: status %d, body %q", target, response.StatusCode, got))
+	})
+	// The routes allow 5 s and 8 s for each request.
+	c.Check(time.Since(began) < 4*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/io/front/upload_test.go
+++ b/io/front/upload_test.go
@@ -64,10 +64,7 @@
 // newUploadCaller connects to a node beside s, or to one beside another server if nodes is 2, that has
 // the given memory in bytes for uploads.
 func newUploadCaller(c *qt.C, s *uploadServer, nodes int, hold int64) (uploadCaller, testNode) {
-	n := newTestNodeOptions(c, uploadRules, "filing-1", s.address, netip.AddrPort{}, Options{HoldBytes: hold})
-	if nodes == 2 {
-		n = newTestNodeOptions(c, uploadRules, "desk-1", s.address, addressOf(n.nodes), Options{HoldBytes: hold})
-	}
+	n := newTestNodes(c, uploadRules, s.address, nodes, Options{HoldBytes: hold})
 	return dialUpload(c, n), n
 }
 
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -64,7 +64,8 @@
 	return c
 }
 
-// writeTracker records the first write to a connection.
+// writeTracker records the first write to a connection, and the failure of the connection that a write
+// returned.
 type writeTracker struct{ conn *conn }
 
 // Write writes a part of a request.
--- a/io/pool/reset_test.go
+++ b/io/pool/reset_test.go
@@ -24,7 +24,7 @@
 func (endlessBody) Read(p []byte) (int, error) { return min(len(p), pieceSize), nil }
 
 // startEarlyServer starts a server that sends response when it has read the head of a request, waits
-// for pause, calls end and closes the connection. It returns its URL.
+// for pause, and then ends the connection with end. It returns its URL.
 func startEarlyServer(c *qt.C, response string, pause time.Duration, end func(conn *net.TCPConn)) string {
 	s, err := fake.NewEarlyServer(func(_ int32, _ *http.Request, conn net.Conn) {
 		_, _ = io.WriteString(conn, response)
@@ -36,8 +36,11 @@
 	return "http://" + s.Addr().String()
 }
 
-// reset makes the close of a connection a reset.
-func reset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+// reset resets a connection.
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
 
 // readEarlyResponse sends a request with an endless body and reads the response after a delay.
 func readEarlyResponse(c *qt.C, t *Transport, url string, delay time.Duration) (string, error) {
@@ -64,6 +67,7 @@
 			for w := newConn(conn, ""); !w.isReadable(); {
 				time.Sleep(100 * time.Microsecond)
 			}
+			_ = conn.Close()
 		},
 	}
 	for name, end := range ends {
@@ -90,11 +94,9 @@
 		"reads no more": func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			time.Sleep(100 * time.Millisecond)
+			_ = conn.Close()
 		},
-		"reads on": func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		},
+		"reads on": func(conn *net.TCPConn) { _ = conn.CloseWrite() },
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
