test(review): a planned stop cuts downloads whose requesters pause

Cause: TCP_USER_TIMEOUT, set to 2.5 s on all connections, also ends a connection whose peer is well and has closed its window.

Change: a script with real nodes. Requesters pause for 4 s while they read a download of 540000 bytes, and their machine gets SIGTERM meanwhile.

--- a/review/stand-3/reader.go
+++ b/review/stand-3/reader.go
@@ -4,10 +4,11 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// slowReader has requesters that pause while they read a download.
+// slowReader has requesters that pause while they read a download, at a machine that is stopped meanwhile.
 func slowReader(w *world, trouble bool) (bool, error) {
 	if err := w.twoServices("reco1", "fiel2"); err != nil {
 		return false, err
@@ -20,12 +21,21 @@
 		return false, err
 	}
 	const count = 12
+	n := w.nodes[0]
 	lost := 0
 	var mutex sync.Mutex
-	var wait sync.WaitGroup
-	for i := range count {
-		n := w.nodes[i%len(w.nodes)]
+	var wait, begun sync.WaitGroup
+	begun.Add(count)
+	for range count {
 		wait.Go(func() {
+			isCounted := false
+			begin := func() {
+				if !isCounted {
+					isCounted = true
+					begun.Done()
+				}
+			}
+			defer begin()
 			c, err := dial(n.outboundAddress())
 			if err != nil {
 				w.record.add("no connection: %v", err)
@@ -38,6 +48,7 @@
 			q.read = func(_ net.Conn, r io.Reader) ([]byte, error) {
 				b := make([]byte, 32<<10)
 				n, err := io.ReadFull(r, b)
+				begin()
 				if err != nil {
 					return b[:n], err
 				}
@@ -48,10 +59,7 @@
 				return append(b, rest...), err
 			}
 			x := c.do(q)
-			w.record.add("download %s on the same connection: %v", q.id, x)
-			for _, r := range allRuns.of(q.id) {
-				w.record.add("  %s ran at %s", q.id, r.instance)
-			}
+			w.record.add("download %s on the same connection: %v; ran %d times", q.id, x, len(allRuns.of(q.id)))
 			if !x.isWhole(q) && len(allRuns.of(q.id)) > 0 {
 				mutex.Lock()
 				lost++
@@ -59,7 +67,9 @@
 			}
 		})
 	}
+	begun.Wait()
+	n.signal(syscall.SIGTERM)
 	wait.Wait()
-	w.record.add("%d of %d downloads were passed on to a sound backend and have no whole answer", lost, count)
-	return lost > 3, nil
+	w.record.add("%d of %d downloads were passed on to a sound backend and have no complete answer", lost, count)
+	return lost > 0, nil
 }
