--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -43,6 +44,15 @@
 // process.
 type testNode struct {
 	callers, nodes *httptest.Server
+	// loops are the loop of the node and that of the node that it forwards to, if any.
+	loops []*loop.Loop
+}
+
+// publish gives the node, and the one that it forwards to, a version of the rules.
+func (n testNode) publish(rules string, revision uint64) {
+	for _, l := range slices.Backward(n.loops) {
+		l.Process(event.DocumentRead{At: time.Now(), Document: event.Rules, Text: rules, Revision: revision})
+	}
 }
 
 // newTestNode returns a node of the given name whose guard serves the backend
@@ -75,6 +85,7 @@
 	w := wire.New(l, self, netip.AddrPort{}, (&net.Dialer{}).DialContext)
 	o.Local, o.Remote, o.Querier, o.Scope, o.Egress = g, k, w, tally.NoopScope, writer
 	p := testNode{
+		loops:   []*loop.Loop{l},
 		callers: httptest.NewServer(New(l, o)),
 		nodes:   httptest.NewServer(g),
 	}
@@ -87,7 +98,7 @@
 		{Name: "filing-1", Centre: "north", Service: "filing", ForwardAddr: nodes, ControlAddr: nodes},
 	})
 	c.Assert(err, qt.IsNil)
-	l.Process(event.DocumentRead{At: time.Now(), Document: event.Rules, Text: rules, Revision: 1})
+	p.publish(rules, 1)
 	l.Process(event.DocumentRead{At: time.Now(), Document: event.Fleet, Text: text, Revision: 1})
 	return p
 }
@@ -97,7 +108,9 @@
 func newTestNodes(c *qt.C, rules string, server netip.AddrPort, nodes int, o Options) testNode {
 	n := newTestNodeOptions(c, rules, "filing-1", server, netip.AddrPort{}, o)
 	if nodes == 2 {
-		n = newTestNodeOptions(c, rules, "desk-1", server, addressOf(n.nodes), o)
+		guard := n
+		n = newTestNodeOptions(c, rules, "desk-1", server, addressOf(guard.nodes), o)
+		n.loops = append(n.loops, guard.loops...)
 	}
 	return n
 }
--- a/io/front/upload.go
+++ b/io/front/upload.go
@@ -107,7 +107,7 @@
 	if err := c.SetReadDeadline(d.Until); err != nil {
 		return &BodyError{Cause: err}
 	}
-	body, whole, err := cr.readHeld(d.Bytes, route.MaxBodyBytes)
+	body, whole, err := cr.readHeld(*e, d.Bytes, route.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
@@ -115,19 +115,30 @@
 		return &BodyError{Cause: err}
 	}
 	e.Size = max(e.Size, int64(len(body)))
-	if !whole && e.Size <= route.MaxBodyBytes {
-		cr.bodyUnread = false
+	cr.bodyUnread = false
+	if !whole {
+		// The entry decides by rules that may be newer than route and allow the body. What was read of it
+		// is never sent without the rest.
 		return cr.streamBody(e, body)
 	}
-	cr.bodyUnread = !whole
 	cr.buffered = body
 	cr.recordHeld(e, len(body))
 	return nil
 }
 
-// readHeld reads a body for which memory of the given number of bytes is reserved. It stops past
-// limit, and at the size up to which bodies are held; whole is then false.
-func (cr *callerRequest) readHeld(bytes, limit int64) (body []byte, whole bool, err error) {
+// bodyLimit returns the size in bytes that the rules in force allow for the body of a request, or 0 if
+// they have no route for it.
+func (f *Front) bodyLimit(e event.Request) int64 {
+	r, ok := f.loop.Rules().Route(e.Method, e.Host, e.Path)
+	if !ok {
+		return 0
+	}
+	return r.MaxBodyBytes
+}
+
+// readHeld reads the body of e, for which memory of the given number of bytes is reserved. It stops past
+// limit, unless newer rules allow more, and at the size up to which bodies are held; whole is then false.
+func (cr *callerRequest) readHeld(e event.Request, bytes, limit int64) (body []byte, whole bool, err error) {
 	// One byte more shows whether the body goes on.
 	body = make([]byte, 0, bytes+1)
 	for {
@@ -141,8 +152,11 @@
 		case err != nil:
 			return nil, false, &BodyError{Cause: err}
 		case int64(len(body)) > limit:
-			return body, false, nil
-		case len(body) < cap(body):
+			if limit = cr.front.bodyLimit(e); int64(len(body)) > limit {
+				return body, false, nil
+			}
+		}
+		if len(body) < cap(body) {
 			continue
 		}
 		if cr.request.ContentLength >= 0 {
