--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -260,6 +260,39 @@
 	c.Check(load.InFlight, qt.Equals, 0)
 }
 
+// A caller that leaves within a response must not make the guard treat its backend server as cold, as a reset of the
+// server does.
+func TestLeavingCallerKeepsGuardWarm(t *testing.T) {
+	const size = 2 * maxReplayBody
+	for _, idempotent := range []bool{true} {
+		t.Run(fmt.Sprintf("idempotent %v", idempotent), func(t *testing.T) {
+			c := qt.New(t)
+			s := startRawServer(c, func(n int32, _ *http.Request, conn net.Conn) {
+				if n == 1 {
+					_, _ = io.WriteString(conn, responseText("ok"))
+					return
+				}
+				_, _ = io.WriteString(conn, responseText(strings.Repeat("x", size))[:size])
+			})
+			g, l := newGate(c, s.Addr())
+			_, _, err := exchange(c, g, newClaim("claim"))
+			c.Assert(err, qt.IsNil)
+			o := newClaim("claim")
+			o.Idempotent = idempotent
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			a, err := g.Exchange(ctx, o)
+			c.Assert(err, qt.IsNil)
+			leave()
+			_, err = io.Copy(io.Discard, a.Body)
+			c.Check(err, qt.ErrorIs, context.Canceled)
+			load, _ := l.LoadReport()
+			c.Check(load.Cold, qt.IsFalse)
+			c.Check(load.InFlight, qt.Equals, 0)
+		})
+	}
+}
+
 // A backend server may send an extra response. It must not be taken as the
 // response to the next request on the connection.
 func TestUnsolicitedResponseReachesNoCaller(t *testing.T) {
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -53,7 +53,7 @@
 		cancel(nil)
 		return ah.reportFailure(event.ExchangeEnded{Failure: event.Reset, Latency: spent})
 	}
-	s := &responseBody{handler: ah, body: r.Body, cancel: cancel, status: r.StatusCode, responseTime: spent, load: info.ServerLoad}
+	s := &responseBody{handler: ah, body: r.Body, context: ctx, cancel: cancel, status: r.StatusCode, responseTime: spent, load: info.ServerLoad}
 	return ah.newResponse(r, s)
 }
 
@@ -205,9 +205,11 @@
 // responseBody is the body of a response that the backend server is still
 // sending.
 type responseBody struct {
-	handler      *attemptHandler
-	prefix       io.Reader
-	body         io.ReadCloser
+	handler *attemptHandler
+	prefix  io.Reader
+	body    io.ReadCloser
+	// context is that of the exchange.
+	context      context.Context
 	cancel       context.CancelCauseFunc
 	status       int
 	responseTime time.Duration
@@ -228,6 +230,9 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		s.finish(event.None, nil)
+	case s.context.Err() != nil:
+		// The sender has left, or its time is over, which says nothing about the backend server.
+		s.finish(event.Cancelled, nil)
 	case err != nil:
 		s.finish(event.Reset, nil)
 	}
