--- a/io/front/reply.go
+++ b/io/front/reply.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -42,6 +43,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	response := a.response
+	// The attempt itself may outlast its caller. A response that the caller no longer reads need not.
+	leave := context.AfterFunc(cr.request.Context(), a.cancel)
+	defer leave()
 	if a.responseTimeout > 0 {
 		stop := cr.limitResponseTime(a)
 		defer stop()
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -264,7 +264,7 @@
 // server does.
 func TestLeavingCallerKeepsGuardWarm(t *testing.T) {
 	const size = 2 * maxReplayBody
-	for _, idempotent := range []bool{true} {
+	for _, idempotent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("idempotent %v", idempotent), func(t *testing.T) {
 			c := qt.New(t)
 			s := startRawServer(c, func(n int32, _ *http.Request, conn net.Conn) {
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -17,17 +17,19 @@
 	"bulrushlock/io/proto"
 )
 
-// serve sends an admitted attempt to the backend server.
-func (ah *attemptHandler) serve(ctx context.Context, e effect.Admit) proto.Response {
-	timeout := e.TimeLeft
+// serve sends an admitted attempt to the backend server. A non-idempotent attempt continues without its
+// sender for as long as its response may be stored; any other one ends with the context of the sender.
+func (ah *attemptHandler) serve(sender context.Context, e effect.Admit) proto.Response {
+	ctx, timeout := sender, e.TimeLeft
 	if !ah.attempt.Idempotent {
-		ctx = pool.WithAtMostOnce(context.WithoutCancel(ctx))
+		ctx = pool.WithAtMostOnce(context.WithoutCancel(sender))
 		timeout += ah.gate.options.DeadlineOverrun
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	overdue := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
 	// The timeout also covers the body of a response that is stored, as newResponse
-	// reads it to its end. Other bodies are read after serve has returned.
+	// reads it to its end. Other bodies are read after serve has returned, by a sender
+	// that limits the time of the whole response.
 	defer overdue.Stop()
 	began := time.Now()
 	sent := ah.request(ctx, e)
@@ -54,7 +56,11 @@
 		return ah.reportFailure(event.ExchangeEnded{Failure: event.Reset, Latency: spent})
 	}
 	s := &responseBody{handler: ah, body: r.Body, context: ctx, cancel: cancel, status: r.StatusCode, responseTime: spent, load: info.ServerLoad}
-	return ah.newResponse(r, s)
+	response := ah.newResponse(r, s)
+	if response.Body == s {
+		s.endWith(sender)
+	}
+	return response
 }
 
 // reportAnnouncement reports to the guard what the backend server announced in its response to a
@@ -209,14 +215,21 @@
 	prefix  io.Reader
 	body    io.ReadCloser
 	// context is that of the exchange.
-	context      context.Context
-	cancel       context.CancelCauseFunc
+	context context.Context
+	cancel  context.CancelCauseFunc
+	// leave stops the exchange from ending with its sender.
+	leave        func() bool
 	status       int
 	responseTime time.Duration
 	load         *event.ServerLoad
 	once         sync.Once
 }
 
+// endWith ends the exchange when the context of its sender ends.
+func (s *responseBody) endWith(sender context.Context) {
+	s.leave = context.AfterFunc(sender, func() { s.cancel(context.Cause(sender)) })
+}
+
 // Read reads the body and reports its end to the guard.
 func (s *responseBody) Read(b []byte) (int, error) {
 	if s.prefix != nil {
@@ -249,6 +262,9 @@
 // connection. Only the first call has an effect.
 func (s *responseBody) finish(f event.Failure, response *event.StoredResponse) {
 	s.once.Do(func() {
+		if s.leave != nil {
+			s.leave()
+		}
 		closeBody(s.body)
 		s.cancel(nil)
 		s.handler.reportServed(event.ExchangeEnded{Failure: f, Status: s.status, Latency: s.responseTime, Response: response, ServerLoad: s.load})
